--- /dev/null
+++ b/barleywheel/__init__.py
@@ -0,0 +1,1 @@
+"""barleywheel: call-control decisions for one exchange of a circuit-switched network."""
--- a/sprucefold/benchlink.py
+++ b/barleywheel/benchlink.py
@@ -1,6 +1,6 @@
 """The simulator's wire: binary frames on standard input and output, one Controller an instance.
 
-Translation only. Every choice is made in ``sprucefold.brain``; nothing here is shared
+Translation only. Every choice is made in ``barleywheel.brain``; nothing here is shared
 between instances except the numbered lists that the wire itself shares.
 """
 
@@ -13,8 +13,8 @@
 from collections.abc import Callable
 from typing import Any, BinaryIO
 
-from sprucefold import interface as api
-from sprucefold.brain import Controller
+from barleywheel import interface as api
+from barleywheel.brain import Controller
 
 HEADER = struct.Struct("<IQI")
 REPLY = struct.Struct("<II")
@@ -360,7 +360,7 @@
 
 def bail_out(agent: int, text: str, out: list[bytes]) -> None:
     """Report that the decisions failed, on the wire and on standard error."""
-    print(f"sprucefold: agent {agent}: {text}", file=sys.stderr)
+    print(f"barleywheel: agent {agent}: {text}", file=sys.stderr)
     data = text.encode()[:TEXT_LIMIT]
     out.append(record(74, TEXT.pack(agent, len(data)) + data))
 
@@ -416,7 +416,7 @@
             sys.stdout.buffer.write(link.batch(frame))
             sys.stdout.buffer.flush()
     except WireError as error:
-        print(f"sprucefold: bad input: {error}", file=sys.stderr)
+        print(f"barleywheel: bad input: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/sprucefold/brain.py
+++ b/barleywheel/brain.py
@@ -1,4 +1,4 @@
-"""The decisions of one exchange's call controller. Types, events and actions: sprucefold/interface.py.
+"""The decisions of one exchange's call controller. Types, events and actions: barleywheel/interface.py.
 
 The occupancy rule admits calls towards each next processor; docs/design.md tells its source, what is
 kept of it and the condition of each exception. No I/O and no clock: ``handle`` is told the time.
@@ -9,8 +9,8 @@
 import random
 from collections import deque
 
-from sprucefold import interface as api
-from sprucefold.interface import Cause, Outcome
+from barleywheel import interface as api
+from barleywheel.interface import Cause, Outcome
 
 EPOCH_US = 1_000_000  # period of the occupancy rule (the paper's)
 RHO_TARGET = 0.9  # occupancy aimed at (the paper's)
--- a/sprucefold/interface.py
+++ b/barleywheel/interface.py
@@ -1,4 +1,4 @@
-"""Settings, events and actions of the decision module in ``sprucefold.brain``.
+"""Settings, events and actions of the decision module in ``barleywheel.brain``.
 
 Only data lives here. Times are whole microseconds. ``None`` always means "not known".
 An exchange id is opaque: it is compared and handed back, never taken apart.
--- a/sprucefold/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""sprucefold: call-control decisions for one exchange of a circuit-switched network."""
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 from typing import Any, TypeVar
 
-from sprucefold import interface as api
-from sprucefold.brain import Controller
+from barleywheel import interface as api
+from barleywheel.brain import Controller
 
 START = 100_000_000
 SECOND = 1_000_000
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -14,8 +14,8 @@
 
 import pytest
 
-from sprucefold import benchlink
-from sprucefold import interface as api
+from barleywheel import benchlink
+from barleywheel import interface as api
 
 ROOT = Path(__file__).parent.parent
 OPTIONS: dict[str, Any] = {
@@ -71,7 +71,7 @@
 
 def command() -> list[str]:
     text = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["sim"]
-    assert text == "exec .venv/bin/python -m sprucefold.benchlink"
+    assert text == "exec .venv/bin/python -m barleywheel.benchlink"
     return [sys.executable, *text.split()[2:]]
 
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from sprucefold import brain
-from sprucefold import interface as api
-from sprucefold.interface import Cause, Outcome
+from barleywheel import brain
+from barleywheel import interface as api
+from barleywheel.interface import Cause, Outcome
 from tests.rig import SECOND, START, Rig, only, xid
 
 
