--- /dev/null
+++ b/barleywheel/__main__.py
@@ -0,0 +1,89 @@
+"""One real call router: start, serve, and leave at SIGTERM."""
+
+from __future__ import annotations
+
+import logging
+import signal
+import sys
+
+import gevent
+from gevent.event import Event
+
+from barleywheel import config
+from barleywheel.core.deadlines import Deadlines
+from barleywheel.core.life import Life
+from barleywheel.core.model import CAUSE_CUT, Rejection, now_us
+from barleywheel.core.release import Standing
+from barleywheel.facade import Facade
+from barleywheel.fronts.platform import PlatformFront
+from barleywheel.net.hubs import HubPool
+from barleywheel.net.journal import Journal
+
+log = logging.getLogger("barleywheel")
+ACCEPT_S = 0.9  # how long after SIGTERM new set-ups may still come
+LEAVE_S = 3.4  # by then all is answered: SIGKILL may follow at 3.7 s
+
+
+class Router:
+    """The parts of one call router, put together."""
+
+    def __init__(self, conf: config.Config) -> None:
+        self.deadlines = Deadlines()
+        self.facade = Facade(conf.settings, conf.names, conf.seed, self.deadlines)
+        self.standing = Standing(self.deadlines)
+        self.life = Life(self.facade, self.deadlines, self.standing)
+        self.hubs = HubPool(self.life, self.facade, self.deadlines, conf.connect_timeout_us)
+        self.life.default = self.hubs
+        self.front = PlatformFront(self.life, self.deadlines, conf.sockets // 2)
+        self.standing.stranger_to = self.front
+        self.journal = Journal(conf.journal, self.facade, self.hubs)
+        self.stop = Event()
+
+    def start(self, conf: config.Config) -> None:
+        """Listen and begin to serve."""
+        try:
+            self.journal.apply(conf.known)
+            self.front.listen(conf.listen)
+        except (KeyError, ValueError, TypeError, OSError) as error:
+            raise config.ConfigError(f"can't start: {type(error).__name__}: {error}") from error
+        gevent.signal_handler(signal.SIGTERM, self.stop.set)
+        gevent.signal_handler(signal.SIGINT, self.stop.set)
+        for part in (self.deadlines.run, self.journal.run, self.front.run):
+            gevent.spawn(part).link_exception(self._broken)
+
+    def _broken(self, greenlet: object) -> None:
+        log.critical("a part of the router ended: %s", greenlet)
+
+    def leave(self) -> None:
+        """Finish what is taken: callers may still send for a while."""
+        self.front.leaving = True
+        until = now_us() + int(LEAVE_S * 1e6)
+        gevent.sleep(ACCEPT_S)
+        self.front.close()
+        while (self.life.open or not self.front.idle()) and now_us() < until:
+            gevent.sleep(0.02)
+        for call in list(self.life.open.values()):
+            call.close(Rejection(CAUSE_CUT))
+        gevent.sleep(0.05)
+
+
+def main() -> int:
+    """Run until told to stop."""
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    try:
+        conf = config.load()
+        router = Router(conf)
+        router.start(conf)
+    except config.ConfigError as error:
+        print(f"barleywheel: {error}", file=sys.stderr)
+        return 2
+    log.info("serving: name=%s listen=%s hubs=%d", conf.name, conf.listen, len(router.facade.entries))
+    router.stop.wait()
+    log.info("leaving: open=%d standing=%d", len(router.life.open), len(router.standing.legs))
+    router.leave()
+    log.info("left: open=%d standing=%d", len(router.life.open), len(router.standing.legs))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/barleywheel/core/model.py
@@ -0,0 +1,200 @@
+"""What the core deals in: requests, attempts and outcomes."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+from gevent.event import Event
+
+CAUSE_NORMAL = 16
+CAUSE_NO_CIRCUIT = 34
+CAUSE_CUT = 41
+CAUSE_CONGESTION = 42
+CAUSE_BAD_CALL = 95
+CAUSE_EXPIRED = 102
+
+
+def now_us() -> int:
+    """The system's Unix clock in microseconds: the only clock there is here."""
+    return time.time_ns() // 1000
+
+
+class End(Enum):
+    """How an attempt ended."""
+
+    STANDS = "stands"
+    ERROR = "error"
+    FULL = "full"
+    TIMEOUT = "timeout"
+    UNREACHABLE = "unreachable"
+    RESET = "reset"
+    NOT_SENT = "not sent"
+    GONE = "caller gone"  # the caller gave the set-up up while the attempt was out
+    CLOSED = "closed"  # the module answered the call while the attempt was out
+
+
+class Note(Enum):
+    """What a far side adds to a refusal."""
+
+    NONE = ""
+    NO_CIRCUIT = "congestion"
+    TURNED_BACK = "crankback"
+    BEYOND_FULL = "remote_throttled"
+    PROCESSOR_FULL = "throttled"
+    ENGAGED = "engaged"
+
+
+@dataclass(slots=True)
+class Outcome:
+    """The end of one attempt; ``at_us`` is when its last byte was read."""
+
+    end: End
+    note: Note = Note.NONE
+    load: dict[str, float] = field(default_factory=dict)
+    description: bytes = b""
+    at_us: int = 0
+
+
+@dataclass(slots=True)
+class Request:
+    """A set-up as a front took it. ``received_us`` is the time of its last byte."""
+
+    ref: str
+    class_name: str
+    left_us: int
+    destination: int
+    number: str
+    description: bytes
+    received_us: int
+    origin: Origin
+    width: float = 1.0
+    source: int | None = None
+    redialled: bool = False
+    in_transit: bool = False
+    cut_before: bool = False
+
+
+@dataclass(slots=True)
+class Rejection:
+    """The final answer of a call that does not stand; the advice is when to come back, 0 for none."""
+
+    cause: int
+    retry_after_us: int = 0
+
+
+class Releases(Protocol):
+    """Who is told that a call is over."""
+
+    def release(self, ref: str, cause: int) -> None:
+        """A call that stood is over."""
+
+
+class Origin(Releases, Protocol):
+    """Where a request came from and where its one answer goes."""
+
+    def answer(self, request: Request, description: bytes) -> bool:
+        """The call stands; False if the caller could not be told."""
+
+    def reject(self, request: Request, rejection: Rejection) -> None:
+        """The call does not stand."""
+
+
+@dataclass(slots=True)
+class Send:
+    """Decision: make an attempt."""
+
+    hub: bytes
+    limit_us: int
+
+
+Decision = Send | Rejection
+
+
+class Call:
+    """A request taken and not yet answered."""
+
+    def __init__(self, request: Request, number: int) -> None:
+        self.request, self.number = request, number
+        self.attempts = 0
+        self.attempt: Attempt | None = None
+        self.abandoned = False  # the caller gave up: no answer is owed any more
+        self.verdict: Rejection | None = None  # given by the module while an attempt was out
+        self.released: int | None = None  # the hub ended the call before the answer was passed on
+        self.guard_us = 0  # not sent again before this
+
+    def close(self, rejection: Rejection) -> None:
+        """The module gave the final answer on a turn of its own."""
+        self.verdict = rejection
+        if self.attempt is not None:
+            self.attempt.end(Outcome(End.CLOSED))
+
+    def abandon(self) -> None:
+        """The caller gave up."""
+        self.abandoned = True
+        if self.attempt is not None:
+            self.attempt.end(Outcome(End.GONE))
+
+
+class Carrier(Protocol):
+    """What places attempts at hubs. No method blocks."""
+
+    def place(self, attempt: Attempt) -> None:
+        """Send the set-up or end the attempt."""
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Give up an attempt that has ended on our side."""
+
+    def release(self, leg: Leg, cause: int) -> None:
+        """Take down a call that stands."""
+
+
+class Attempt:
+    """One set-up at one hub. The first end counts; every later one is told that it came late."""
+
+    def __init__(self, call: Call, hub: bytes, limit_us: int, may_send: Callable[[bytes], bool]) -> None:
+        self.call, self.hub, self.limit_us, self.may_send = call, hub, limit_us, may_send
+        self.index = call.attempts
+        self.started_us = self.sent_us = now_us()
+        self.slot: object = None  # the carrier's own
+        self.outcome: Outcome | None = None
+        self._ended = Event()
+
+    @property
+    def over(self) -> bool:
+        """Whether the attempt has ended."""
+        return self.outcome is not None
+
+    @property
+    def stands(self) -> bool:
+        """Whether the attempt has ended with a call that stands."""
+        return self.outcome is not None and self.outcome.end is End.STANDS
+
+    def end(self, outcome: Outcome) -> bool:
+        """End the attempt, unless it has ended already."""
+        if self.outcome is not None:
+            return False
+        outcome.at_us = outcome.at_us or now_us()
+        self.outcome = outcome
+        self._ended.set()
+        return True
+
+    def wait(self) -> Outcome:
+        """Block until the attempt ends."""
+        self._ended.wait()
+        assert self.outcome is not None
+        return self.outcome
+
+
+@dataclass(slots=True)
+class Leg:
+    """The far side of a call that stands, and the front that took it."""
+
+    ref: str
+    hub: bytes
+    carrier: Carrier
+    origin: Origin
+    slot: object = None
--- /dev/null
+++ b/barleywheel/facade.py
@@ -0,0 +1,208 @@
+"""The module in blocking style: pick, report, tick, and the way in for hub list and group state.
+
+Beside ``benchlink`` this is the only place that sees the module's events and actions.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from barleywheel import interface as api
+from barleywheel.benchlink import LOAD_FIELDS
+from barleywheel.brain import Controller
+from barleywheel.core.deadlines import Deadlines
+from barleywheel.core.model import (
+    CAUSE_CONGESTION,
+    CAUSE_CUT,
+    Attempt,
+    Call,
+    Decision,
+    End,
+    Note,
+    Outcome,
+    Rejection,
+    Send,
+    now_us,
+)
+
+log = logging.getLogger(__name__)
+ENDS = {
+    End.ERROR: api.Outcome.ERROR,
+    End.FULL: api.Outcome.REJECTED,
+    End.TIMEOUT: api.Outcome.TIMEOUT,
+    End.UNREACHABLE: api.Outcome.UNREACHABLE,
+    End.RESET: api.Outcome.RESET,
+    End.NOT_SENT: api.Outcome.NOT_SENT,
+    End.GONE: api.Outcome.CANCELLED,
+    End.CLOSED: api.Outcome.CANCELLED,
+}
+CAUSES = {
+    Note.NONE: api.Cause.NONE,
+    Note.NO_CIRCUIT: api.Cause.NO_CIRCUIT,
+    Note.TURNED_BACK: api.Cause.TURNED_BACK,
+    Note.BEYOND_FULL: api.Cause.TURNED_BACK,
+    Note.PROCESSOR_FULL: api.Cause.PROCESSOR_FULL,
+    Note.ENGAGED: api.Cause.LINES_ENGAGED,
+}
+# Reports name their values as the settings do, or by the short names of the protocol's page.
+SHORT = {"x0": "free", "x1": "size", "queue": "pending", "qps": "can_take", "util": "cpu_share",
+         "inflight": "busy_reqs", "latency_ms": "svc_ms", "eps": "hold_back"}
+
+
+def _load(values: dict[str, float]) -> api.Load:
+    load = api.Load()
+    for name, value in values.items():
+        attribute = LOAD_FIELDS.get(SHORT.get(name, name))
+        if attribute is not None and value >= 0:
+            setattr(load, attribute, value)
+    return load
+
+
+class Facade:
+    """One decision module, asked and told in plain calls."""
+
+    def __init__(self, settings: api.Settings, names: dict[str, list[str]], seed: int,
+                 deadlines: Deadlines) -> None:
+        self._module = Controller(settings, seed)
+        self._deadlines = deadlines
+        self._names = {kind: {name: at for at, name in enumerate(values)} for kind, values in names.items()}
+        self._calls: dict[int, Call] = {}
+        self._told = False
+        self.entries: dict[bytes, api.Entry] = {}
+        self.guard_us, self.home = settings.guard_us, settings.home
+
+    def knows_class(self, name: str) -> bool:
+        """Whether the settings have a class of that name."""
+        return name in self._names["classes"]
+
+    def ready(self, hub: bytes) -> bool:
+        """Whether the list, as last heard, allows a new set-up to the hub."""
+        entry = self.entries.get(hub)
+        return entry is not None and entry.state is api.State.READY
+
+    def cell(self, hub: bytes) -> int:
+        """The number of the hub's exchange."""
+        entry = self.entries.get(hub)
+        return -1 if entry is None else entry.cell
+
+    # Calls.
+
+    def pick(self, call: Call) -> Decision:
+        """Where to send a new call, or its final answer."""
+        request, now = call.request, now_us()
+        self._calls[call.number] = call
+        return self._decide(call, api.CallOffered(
+            call=call.number,
+            time_left_us=max(0, request.left_us - (now - request.received_us)),
+            destination=request.destination,
+            call_class=self._names["classes"][request.class_name],
+            number=int(request.number, 16) if request.number else 0,
+            redialled=request.redialled,
+            in_transit=request.in_transit,
+            cut_before=request.cut_before,
+            source=request.source if request.in_transit else None,
+            advice=None if request.in_transit else request.source,
+            width=request.width,
+        ), now)
+
+    def report(self, attempt: Attempt, outcome: Outcome) -> Decision:
+        """Tell how an attempt ended; what to do next."""
+        return self._decide(attempt.call, api.AttemptEnded(
+            call=attempt.call.number,
+            attempt=attempt.index,
+            exchange=attempt.hub,
+            outcome=ENDS[outcome.end],
+            elapsed_us=max(0, outcome.at_us - attempt.sent_us),
+            cause=CAUSES[outcome.note],
+            beyond_full=outcome.note is Note.BEYOND_FULL,
+            load=_load(outcome.load),
+        ), now_us())
+
+    def stands(self, attempt: Attempt, outcome: Outcome) -> None:
+        """Tell that a call stands."""
+        self._calls.pop(attempt.call.number, None)
+        elapsed = max(0, outcome.at_us - attempt.sent_us)
+        self._tell(api.CallStands(attempt.call.number, attempt.index, attempt.hub, elapsed))
+        if outcome.load:
+            self.group(attempt.hub, outcome.load)
+
+    def gone(self, call: Call) -> None:
+        """Tell that the caller left."""
+        self._calls.pop(call.number, None)
+        self._tell(api.CallerGone(call.number))
+
+    def tick(self, token: int) -> None:
+        """Let the module's timer come due; calls that it answers by that are closed."""
+        self._tell(api.TimerDue(token))
+
+    # Hubs.
+
+    def group(self, hub: bytes, values: dict[str, float]) -> None:
+        """Tell a report on the group towards a hub, and on its processor where it says so."""
+        self._tell(api.LoadSeen(hub, api.Outcome.OK, 0, _load(values)))
+
+    def hubs(self, endpoints: list[dict[str, Any]], whole: bool) -> None:
+        """Tell a change of the hub list, or the whole of it."""
+        entries = [self._entry(endpoint) for endpoint in endpoints]
+        if whole:
+            self.entries = {}
+        for entry in entries:
+            if entry.state is api.State.GONE:
+                self.entries.pop(entry.exchange, None)
+            else:
+                self.entries[entry.exchange] = entry
+        mode = api.ListMode.FULL if self._told else api.ListMode.CACHED
+        self._told = True
+        self._tell(api.Discovery(mode if whole else api.ListMode.DELTA, entries))
+
+    def _entry(self, endpoint: dict[str, Any]) -> api.Entry:
+        states = {"Ready": api.State.READY, "Terminating": api.State.DRAINING, "Gone": api.State.GONE}
+        return api.Entry(
+            exchange=str(endpoint["name"]).encode(),
+            cell=int(endpoint.get("group", 0)),
+            state=states.get(str(endpoint.get("status")), api.State.DRAINING),
+            zone=self._names["zones"].get(str(endpoint.get("zone")), 0),
+            share=float(endpoint.get("weight", 1.0)),
+            kind=self._names["kinds"].get(str(endpoint.get("type")), 0),
+            launched_us=int(endpoint.get("since_ms") or 0) * 1000,
+        )
+
+    # The module.
+
+    def _decide(self, call: Call, event: api.Event, now: int) -> Decision:
+        decision = self._tell(event, now).get(call.number)
+        if decision is None:
+            # Guards a caller's one answer should the module be silent about a call that it was asked on.
+            log.error("module gave no decision: ref=%s", call.request.ref)
+            decision = Rejection(CAUSE_CUT)
+        if isinstance(decision, Rejection):
+            self._calls.pop(call.number, None)
+        return decision
+
+    def _tell(self, event: api.Event, now: int = 0) -> dict[int, Decision]:
+        """Hand over an event; perform what needs no wire and return the decisions by call."""
+        decisions: dict[int, Decision] = {}
+        for action in self._module.handle(now or now_us(), event):
+            match action:
+                case api.SetUp():
+                    decisions[action.call] = Send(action.exchange, action.limit_us)
+                case api.Refuse():
+                    decisions[action.call] = Rejection(CAUSE_CONGESTION, action.retry_after_us)
+                case api.Fail():
+                    decisions[action.call] = Rejection(CAUSE_CUT)
+                case api.SetTimer():
+                    due: Callable[[], None] = partial(self.tick, action.token)
+                    self._deadlines.at(action.due_us, due)
+                case api.Log():
+                    log.info("module: %s", action.text)
+                case _:
+                    pass  # a Cancel goes with the call's end; the rest is not allowed on this wire
+        if isinstance(event, api.TimerDue):
+            for number, decision in decisions.items():
+                call = self._calls.pop(number, None)
+                if call is not None and isinstance(decision, Rejection):
+                    call.close(decision)
+        return decisions
--- /dev/null
+++ b/barleywheel/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""The ways in: each front turns its wire's messages into requests and answers."""
--- /dev/null
+++ b/barleywheel/net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: buffers, connections, the pool of hub connections and the journal's long poll."""
--- /dev/null
+++ b/barleywheel/net/buffer.py
@@ -0,0 +1,54 @@
+"""One growing buffer a connection, read into and compacted in place."""
+
+from __future__ import annotations
+
+import gevent.socket
+
+START_SIZE = 4096
+
+
+class Buffer:
+    """Bytes read and not yet consumed, between ``start`` and ``end`` of one bytearray."""
+
+    def __init__(self) -> None:
+        self.data = bytearray(START_SIZE)
+        self.start = self.end = 0
+
+    def __len__(self) -> int:
+        return self.end - self.start
+
+    def fill(self, sock: gevent.socket.socket) -> int:
+        """Read once from the socket; 0 at its end."""
+        self.reserve()
+        with memoryview(self.data) as view:
+            count: int = sock.recv_into(view[self.end :])
+        self.end += count
+        return count
+
+    def reserve(self) -> None:
+        """Make room behind the end: by compacting, and by growing only where that is not enough."""
+        if self.start == self.end:
+            self.start = self.end = 0
+        if self.end < len(self.data):
+            return
+        if self.start:
+            kept = self.end - self.start
+            self.data[:kept] = self.data[self.start : self.end]
+            self.start, self.end = 0, kept
+        if self.end > len(self.data) // 2:
+            self.data.extend(bytes(len(self.data)))
+
+    def find(self, mark: bytes) -> int:
+        """Where the mark stands, counted from the start; -1 if it does not."""
+        at = self.data.find(mark, self.start, self.end)
+        return at if at < 0 else at - self.start
+
+    def peek(self, count: int) -> bytes:
+        """The first bytes, which stay."""
+        return bytes(self.data[self.start : min(self.start + count, self.end)])
+
+    def take(self, count: int) -> bytes:
+        """The first bytes, which go."""
+        taken = self.peek(count)
+        self.start += len(taken)
+        return taken
--- /dev/null
+++ b/barleywheel/net/hubs.py
@@ -0,0 +1,255 @@
+"""Connections to build hubs, spoken to in SIP: at most four a hub, one of them opened early."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any
+
+import gevent
+import gevent.socket
+from gevent.event import Event
+
+from barleywheel.core.deadlines import Deadlines
+from barleywheel.core.life import Life
+from barleywheel.core.model import Attempt, End, Leg, Note, Outcome, now_us
+from barleywheel.facade import Facade
+from barleywheel.net.connection import Connection
+from barleywheel.wire import sip
+
+log = logging.getLogger(__name__)
+MOST = 4  # connections a hub
+RETRY_S = (0.1, 0.25, 0.5, 1.0)  # waits between tries to reach a hub that can't be reached
+RELEASE_KEPT_US = 8_000_000  # how long a release waits for a connection to its hub
+ENDS = {503: End.FULL, 486: End.ERROR, 500: End.ERROR, 480: End.NOT_SENT, 504: End.RESET}
+NOTES = {note.value: note for note in Note}
+
+
+class HubConnection(Connection):
+    """A connection and the set-ups open on it."""
+
+    def __init__(self, sock: gevent.socket.socket, peer: str) -> None:
+        super().__init__(sock, peer)
+        self.setups: dict[tuple[str, int], Attempt] = {}
+        self.heard_us = now_us()
+        self.suspect = False  # a set-up on it timed out and nothing has been read since
+
+
+class Slot:
+    """Where an attempt went: its connection and its place in the call's sequence."""
+
+    def __init__(self, conn: HubConnection, cseq: int, number: str) -> None:
+        self.conn, self.cseq, self.number = conn, cseq, number
+
+
+class Hub:
+    """One build hub: its address, its state and its connections."""
+
+    def __init__(self, name: bytes, address: str) -> None:
+        self.name, self.address = name, address
+        self.conns: list[HubConnection] = []
+        self.connecting = 0
+        self.gone = False
+        self.wake = Event()
+        self.releases: list[tuple[int, str, int, str, int]] = []  # waiting for a connection: until, BYE
+
+    def usable(self) -> HubConnection | None:
+        """A connection for a new set-up: nothing queued on it, and not known to be silent."""
+        ready = [c for c in self.conns if c.clear and not c.suspect]
+        return min(ready, key=lambda c: len(c.setups)) if ready else None
+
+
+class HubPool:
+    """Places attempts at hubs; tells the core what hubs say."""
+
+    def __init__(self, life: Life, facade: Facade, deadlines: Deadlines, connect_timeout_us: int) -> None:
+        self.life, self.facade, self.deadlines = life, facade, deadlines
+        self.connect_timeout_s = connect_timeout_us / 1e6
+        self.hubs: dict[bytes, Hub] = {}
+
+    def update(self, endpoints: list[dict[str, Any]], whole: bool) -> None:
+        """Follow the hub list."""
+        named = set()
+        for endpoint in endpoints:
+            name = str(endpoint["name"]).encode()
+            named.add(name)
+            if endpoint.get("status") == "Gone":
+                self._drop(name)
+            elif name not in self.hubs and endpoint.get("address") is not None:
+                self.hubs[name] = Hub(name, str(endpoint["address"]))
+                if self.facade.cell(name) != self.facade.home and not self._elsewhere(name):
+                    gevent.spawn(self._keep, self.hubs[name])
+        if whole:
+            for name in [name for name in self.hubs if name not in named]:
+                self._drop(name)
+
+    def _elsewhere(self, name: bytes) -> bool:
+        return self.facade.cell(name) in self.life.carriers  # another carrier reaches that one
+
+    def _drop(self, name: bytes) -> None:
+        hub = self.hubs.pop(name, None)
+        if hub is not None:
+            hub.gone = True
+            hub.wake.set()
+            if not hub.conns:
+                self.life.standing.hub_dead(name)
+
+    # Connections.
+
+    def _keep(self, hub: Hub) -> None:
+        """Keep a connection open: group state comes on it, and releases."""
+        tries = 0
+        while not hub.gone:
+            if hub.usable() is None and len(hub.conns) + hub.connecting < MOST and not self._replaced(hub):
+                tries = 0 if self._connect(hub) else tries + 1
+            hub.wake.clear()
+            if hub.usable() is None or not hub.conns:
+                hub.wake.wait(RETRY_S[min(tries, len(RETRY_S) - 1)])
+            else:
+                hub.wake.wait()
+
+    def _replaced(self, hub: Hub) -> bool:
+        """A new hub may have the address of one that drains or is gone."""
+        return not self.facade.ready(hub.name) and any(
+            other.address == hub.address and self.facade.ready(other.name) for other in self.hubs.values())
+
+    def _connect(self, hub: Hub) -> HubConnection | None:
+        """Open a connection; blocks until it is up, refused or timed out."""
+        host, _, port = hub.address.rpartition(":")
+        hub.connecting += 1
+        sock = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_STREAM)
+        try:
+            sock.settimeout(self.connect_timeout_s)
+            sock.connect((host, int(port)))
+            sock.settimeout(None)
+        except (OSError, ValueError) as error:
+            sock.close()
+            log.info("hub not reached: hub=%s %s", hub.name.decode(), error)
+            if isinstance(error, ConnectionRefusedError) and not hub.conns:
+                self.life.standing.hub_dead(hub.name)  # its process is dead, and its calls are cut
+            return None
+        finally:
+            hub.connecting -= 1
+        conn = HubConnection(sock, hub.name.decode())
+        hub.conns.append(conn)
+        gevent.spawn(self._read, hub, conn)
+        for until, ref, cseq, number, cause in hub.releases:
+            if until > now_us():
+                conn.write(sip.bye(ref, cseq, number, cause))
+        hub.releases.clear()
+        return conn
+
+    def _read(self, hub: Hub, conn: HubConnection) -> None:
+        for message in conn.messages(sip.cut):
+            conn.heard_us, conn.suspect = now_us(), False
+            try:
+                self._heard(hub, conn, message)
+            except Exception:  # no hub's message may end the process, or the connection's other calls
+                log.exception("message of a hub not understood: hub=%s", conn.peer)
+        hub.conns.remove(conn)
+        if conn.setups or conn.reset:
+            log.info("hub connection lost: hub=%s reset=%s open=%d", conn.peer, conn.reset, len(conn.setups))
+        for attempt in list(conn.setups.values()):
+            attempt.end(Outcome(End.RESET))  # what is open on a closed connection is given up
+        conn.setups.clear()
+        if hub.gone and not hub.conns:
+            self.life.standing.hub_dead(hub.name)
+        hub.wake.set()
+
+    # Attempts.
+
+    def place(self, attempt: Attempt) -> None:
+        """Send the set-up on an open connection, else on a new one."""
+        hub = self.hubs.get(attempt.hub)
+        if hub is None:
+            attempt.end(Outcome(End.NOT_SENT))
+        elif (conn := hub.usable()) is not None:
+            self._send(conn, attempt)
+        else:
+            gevent.spawn(self._connect_and_send, hub, attempt)
+
+    def _connect_and_send(self, hub: Hub, attempt: Attempt) -> None:
+        if len(hub.conns) + hub.connecting >= MOST:
+            silent = [c for c in hub.conns if c.suspect and not c.setups]
+            if not silent:
+                attempt.end(Outcome(End.UNREACHABLE))
+                return
+            silent[0].close()
+        conn = self._connect(hub)
+        hub.wake.set()
+        if conn is None:
+            attempt.end(Outcome(End.UNREACHABLE))
+        elif not attempt.over:
+            self._send(conn, attempt)
+
+    def _send(self, conn: HubConnection, attempt: Attempt) -> None:
+        if not attempt.may_send(attempt.hub):
+            # Guards rule 3: the list may have changed while a connection was awaited.
+            attempt.end(Outcome(End.NOT_SENT))
+            return
+        request = attempt.call.request
+        now, cseq = now_us(), attempt.index + 1
+        left_us = attempt.started_us + attempt.limit_us - now
+        data = sip.invite(request.ref, cseq, request.number, request.class_name,
+                          max(1, left_us // 1000), request.description)
+        attempt.sent_us, attempt.slot = now, Slot(conn, cseq, request.number)
+        conn.setups[request.ref, cseq] = attempt
+        if not conn.write(data):
+            conn.setups.pop((request.ref, cseq), None)
+            attempt.end(Outcome(End.RESET))
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Give up a set-up; an answer that still comes finds nobody waiting."""
+        slot, ref = attempt.slot, attempt.call.request.ref
+        if not isinstance(slot, Slot) or slot.conn.setups.pop((ref, slot.cseq), None) is None:
+            return
+        slot.conn.write(sip.request("CANCEL", f"sip:{slot.number}@net", ref, slot.cseq))
+        if slot.conn.heard_us < attempt.sent_us and attempt.outcome is not None and (
+                attempt.outcome.end is End.TIMEOUT):
+            slot.conn.suspect = True  # the machine may have vanished; a new connection will tell
+            if (hub := self.hubs.get(attempt.hub)) is not None:
+                hub.wake.set()
+
+    def release(self, leg: Leg, cause: int) -> None:
+        """Take down a call that stands: where its set-up went, else on any connection, else on the next."""
+        slot = leg.slot
+        if not isinstance(slot, Slot):
+            return
+        hub = self.hubs.get(leg.hub)
+        conns = [slot.conn] + ([c for c in hub.conns if not c.suspect] if hub else [])
+        data = sip.bye(leg.ref, slot.cseq + 1, slot.number, cause)
+        if not any(conn.write(data) for conn in conns) and hub is not None:
+            hub.releases.append((now_us() + RELEASE_KEPT_US, leg.ref, slot.cseq + 1, slot.number, cause))
+
+    # What hubs say.
+
+    def _heard(self, hub: Hub, conn: HubConnection, message: sip.Message) -> None:
+        if message.status:
+            if message.cseq[1] == "INVITE" and message.status >= 200:
+                self._answered(hub, conn, message)
+        elif message.method == "NOTIFY":
+            self.facade.group(hub.name, message.load)
+        elif message.method == "BYE":
+            conn.write(sip.response(200, "OK", message))
+            if load := message.load:
+                self.facade.group(hub.name, load)
+            self.life.released(hub.name, message.call_id, message.cause)
+        elif message.method != "ACK":
+            conn.write(sip.response(200, "OK", message))
+
+    def _answered(self, hub: Hub, conn: HubConnection, message: sip.Message) -> None:
+        """A final answer. It counts only for the attempt with its connection, Call-ID and CSeq."""
+        ref, cseq, load = message.call_id, message.cseq[0], message.load
+        attempt = conn.setups.pop((ref, cseq), None)
+        number = attempt.call.request.number if attempt else ""
+        conn.write(sip.request("ACK", f"sip:{number}@net", ref, cseq))
+        if message.status < 300:
+            outcome = Outcome(End.STANDS, load=load, description=message.body, at_us=now_us())
+            if attempt is None or not attempt.end(outcome):
+                conn.write(sip.bye(ref, cseq + 1, number, 16))  # late: nobody waits for this call
+                if load:
+                    self.facade.group(hub.name, load)
+            return
+        note = NOTES.get(message.headers.get("x-note", ""), Note.NONE)
+        outcome = Outcome(ENDS.get(message.status, End.ERROR), note, load, at_us=now_us())
+        if (attempt is None or not attempt.end(outcome)) and load:
+            self.facade.group(hub.name, load)
--- /dev/null
+++ b/barleywheel/net/journal.py
@@ -0,0 +1,110 @@
+"""The journal service: the hub list by long poll over HTTP/1.1."""
+
+from __future__ import annotations
+
+import json
+import logging
+from typing import Any
+
+import gevent
+import gevent.socket
+import httptools
+
+from barleywheel.facade import Facade
+from barleywheel.net.buffer import Buffer
+from barleywheel.net.hubs import HubPool
+
+log = logging.getLogger(__name__)
+HOLD_MS = 1000  # how long the service may hold a poll
+STALL_S = 1.8  # a poll that says nothing for so long is taken for cut off, well within the 7 s that count
+CONNECT_S = 0.6
+RETRY_S = 0.2
+MOST = 4 * 1024 * 1024
+
+
+class Answer:
+    """One HTTP answer, as httptools fills it in."""
+
+    def __init__(self) -> None:
+        self.body = b""
+        self.done = False
+
+    def on_body(self, body: bytes) -> None:
+        """Called by the parser."""
+        self.body += body
+
+    def on_message_complete(self) -> None:
+        """Called by the parser."""
+        self.done = True
+
+
+class Journal:
+    """Follows the journal and hands its events to the module and to the pool."""
+
+    def __init__(self, address: str, facade: Facade, hubs: HubPool) -> None:
+        self.address, self.facade, self.hubs = address, facade, hubs
+        self.pos = 0
+        self.alive = False  # for the agent
+
+    def apply(self, answer: dict[str, Any]) -> None:
+        """Take the events of an answer, each of them once."""
+        for entry in answer.get("entries") or []:
+            pos = int(entry.get("pos", 0))
+            hosts = entry.get("hosts")
+            if pos <= self.pos:
+                continue
+            self.pos = pos
+            if not isinstance(hosts, dict):
+                continue
+            whole = bool(hosts.get("snapshot"))
+            endpoints = hosts.get("endpoints") or []
+            self.facade.hubs(endpoints, whole)
+            self.hubs.update(endpoints, whole)
+            for endpoint in endpoints:
+                log.info("hub list: hub=%s group=%s state=%s", endpoint.get("name"), endpoint.get("group"),
+                         endpoint.get("status"))
+        self.pos = max(self.pos, int(answer.get("pos", self.pos)))
+
+    def run(self) -> None:
+        """Poll for ever, over one connection while it works."""
+        while True:
+            try:
+                self._follow()
+            except (OSError, ValueError, TypeError, KeyError, httptools.HttpParserError) as error:
+                if self.alive:
+                    log.warning("journal poll broken off, opened anew: %s", error or type(error).__name__)
+                self.alive = False
+            gevent.sleep(RETRY_S)
+
+    def _follow(self) -> None:
+        host, _, port = self.address.rpartition(":")
+        sock = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_STREAM)
+        try:
+            sock.settimeout(CONNECT_S)
+            sock.connect((host, int(port)))
+            sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
+            buffer, again = Buffer(), True
+            while again:
+                sock.settimeout(STALL_S)
+                sock.sendall(f"GET /journal?tail={self.pos}&max_wait={HOLD_MS} HTTP/1.1\r\n"
+                             f"Host: {self.address}\r\n\r\n".encode())
+                again = self._poll(sock, buffer)
+        finally:
+            sock.close()
+
+    def _poll(self, sock: gevent.socket.socket, buffer: Buffer) -> bool:
+        """Read one answer; whether the connection may be used again."""
+        answer = Answer()
+        parser = httptools.HttpResponseParser(answer)
+        with gevent.Timeout(STALL_S, TimeoutError("poll stalled")):
+            while not answer.done:
+                if buffer.fill(sock) == 0:
+                    raise ConnectionError("closed by the service")
+                parser.feed_data(buffer.take(len(buffer)))
+                if len(answer.body) > MOST:
+                    raise ValueError("answer too large")
+        if parser.get_status_code() != 200:
+            raise ValueError(f"status {parser.get_status_code()}")
+        self.apply(json.loads(answer.body))
+        self.alive = True
+        return bool(parser.should_keep_alive())
--- /dev/null
+++ b/barleywheel/snmp/__init__.py
@@ -0,0 +1,1 @@
+"""The SNMP agent, off unless an operator sets it up."""
--- /dev/null
+++ b/barleywheel/wire/jsonlines.py
@@ -0,0 +1,57 @@
+"""The callers' wire: one JSON object a line."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from barleywheel.net.buffer import Buffer
+from barleywheel.wire import Malformed
+
+LIMIT = 16 * 1024
+
+
+def cut(buffer: Buffer) -> dict[str, Any] | None:
+    """Take the next message off the buffer; None until it is whole."""
+    end = buffer.find(b"\n")
+    if end > LIMIT or end < 0 and len(buffer) > LIMIT:
+        raise Malformed("line over 16 KiB")
+    if end < 0:
+        return None
+    line = buffer.take(end + 1)
+    if not line.strip():
+        return cut(buffer)
+    try:
+        # surrogateescape: whatever bytes a description has go through unchanged
+        message = json.loads(line.decode("utf-8", "surrogateescape"))
+    except (ValueError, RecursionError) as error:
+        raise Malformed(f"no JSON: {error}") from error
+    if not isinstance(message, dict) or not isinstance(message.get("t"), str):
+        raise Malformed("no message with a type")
+    if not isinstance(message.get("ref", ""), str) or not isinstance(message.get("f") or {}, dict):
+        raise Malformed("id or fields of a wrong kind")
+    if not isinstance(message.get("d", ""), str):
+        raise Malformed("description of a wrong kind")
+    return message
+
+
+def encode(kind: str, ref: str, fields: dict[str, Any] | None = None, cause: int | None = None,
+           description: bytes | None = None) -> bytes:
+    """One line."""
+    message: dict[str, Any] = {"t": kind, "ref": ref, "f": fields or {}}
+    if cause is not None:
+        message["c"] = cause
+    if description is not None:
+        message["d"] = description.decode("utf-8", "surrogateescape")
+    text = json.dumps(message, ensure_ascii=False, separators=(",", ":"))
+    return text.encode("utf-8", "surrogateescape") + b"\n"
+
+
+def description(message: dict[str, Any]) -> bytes:
+    """The bytes of a message's description."""
+    text: str = message.get("d", "")
+    # A lone surrogate that JSON spelled out stands for no byte; it is passed on in its own encoding.
+    try:
+        return text.encode("utf-8", "surrogateescape")
+    except UnicodeEncodeError:
+        return text.encode("utf-8", "surrogatepass")
