Count CSeq by connection and call, so that second attempts find their answers

Every timed-out attempt was the call's second one and had been answered within 40 ms, with CSeq 1; it had been sent with CSeq 2. At fault: net/hubs.py _send, which numbered attempts through the call and not through the connection that they go out on.

--- a/barleywheel/core/model.py
+++ b/barleywheel/core/model.py
@@ -125,6 +125,7 @@
         self.verdict: Rejection | None = None  # given by the module while an attempt was out
         self.released: int | None = None  # the hub ended the call before the answer was passed on
         self.guard_us = 0  # not sent again before this
+        self.marks: dict[object, int] = {}  # the carriers' own: what was sent where
 
     def close(self, rejection: Rejection) -> None:
         """The module gave the final answer on a turn of its own."""
--- a/barleywheel/net/hubs.py
+++ b/barleywheel/net/hubs.py
@@ -187,7 +187,10 @@
             attempt.end(Outcome(End.NOT_SENT))
             return
         request = attempt.call.request
-        now, cseq = now_us(), attempt.index + 1
+        # Counted by connection and call: a hub that gets its first INVITE of a call answers it as CSeq 1,
+        # so a number that went on from an attempt at another hub never found its answer.
+        now, cseq = now_us(), attempt.call.marks.get(conn, 0) + 1
+        attempt.call.marks[conn] = cseq
         left_us = attempt.started_us + attempt.limit_us - now
         data = sip.invite(request.ref, cseq, request.number, request.class_name,
                           max(1, left_us // 1000), request.description)
@@ -241,6 +244,9 @@
         ref, cseq, load = message.call_id, message.cseq[0], message.load
         attempt = conn.setups.pop((ref, cseq), None)
         number = attempt.call.request.number if attempt else ""
+        if attempt is None:
+            log.info("answer to no open attempt: hub=%s ref=%s cseq=%d status=%d note=%s", conn.peer, ref, cseq,
+                     message.status, message.headers.get("x-note", "-"))
         conn.write(sip.request("ACK", f"sip:{number}@net", ref, cseq))
         if message.status < 300:
             outcome = Outcome(End.STANDS, load=load, description=message.body, at_us=now_us())
