--- a/barleywheel/brain.py
+++ b/barleywheel/brain.py
@@ -162,7 +162,14 @@
         self._close(call, api.Fail(call.offer.call))
 
     def _refuse(self, call: Call) -> None:
-        self._close(call, api.Refuse(call.offer.call))
+        """Turn the call away at once, with advice when to come back where callers hear it.
+
+        An epoch is when f may rise next; at a low f more of them pass before a call gets through.
+        """
+        advice = EPOCH_US / min(self.f, self.told) if self.settings.retry_after else 0
+        if call.offer.in_transit:
+            advice = 0  # it goes back to an exchange, which does not wait
+        self._close(call, api.Refuse(call.offer.call, int(min(advice, self.settings.max_retry_after_us))))
 
     def _send(self, call: Call, exchange: Exchange) -> None:
         offer, call.out, call.sent_us, exchange.sent_us = call.offer, exchange, self.now, self.now
--- a/barleywheel/net/hubs.py
+++ b/barleywheel/net/hubs.py
@@ -245,8 +245,8 @@
         attempt = conn.setups.pop((ref, cseq), None)
         number = attempt.call.request.number if attempt else ""
         if attempt is None:
-            log.info("answer to no open attempt: hub=%s ref=%s cseq=%d status=%d note=%s", conn.peer, ref, cseq,
-                     message.status, message.headers.get("x-note", "-"))
+            log.info("answer to no open attempt: hub=%s ref=%s cseq=%d status=%d", conn.peer, ref, cseq,
+                     message.status)
         conn.write(sip.request("ACK", f"sip:{number}@net", ref, cseq))
         if message.status < 300:
             outcome = Outcome(End.STANDS, load=load, description=message.body, at_us=now_us())
--- /dev/null
+++ b/tests/netrig.py
@@ -0,0 +1,262 @@
+"""Stand-ins round the real program: callers, hubs and the journal service, in plain threads."""
+
+from __future__ import annotations
+
+import json
+import os
+import re
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
+from functools import partial
+from pathlib import Path
+from typing import Any, TypeVar
+
+ROOT = Path(__file__).parent.parent
+PATIENCE = 20.0  # seconds that a condition is waited for; no test needs so long unless it fails
+M = TypeVar("M")
+BODY = b"9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\n\xff\xfe\r\n"
+SETTINGS: dict[str, Any] = {
+    "balancers": 3,
+    "classes": [{"name": "voice", "aim_us": 1200000, "hard_limit_us": 9000000, "worth": 1.0},
+                {"name": "gold", "aim_us": 800000, "hard_limit_us": 6000000, "worth": 8.0}],
+    "family_info": {"home_no": 0, "layout": "mesh", "guard_us": 300000},
+    "limits": {"cancel": True, "send_cap": 4, "connect_timeout_us": 300000},
+    "report": {"fields": ["free", "size", "pending", "can_take"], "how": "answers"},
+    "tick_us": 5000, "zones": ["east"], "kinds": ["std"],
+}
+
+
+class Inbox(list[M]):
+    """What a stand-in has heard; anyone may wait for something in it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.changed = threading.Condition()
+
+    def put(self, item: M) -> None:
+        with self.changed:
+            self.append(item)
+            self.changed.notify_all()
+
+    def take(self, fits: Callable[[M], bool], patience: float = PATIENCE) -> M:
+        """Remove and return the first item that fits, waiting for it."""
+        with self.changed:
+            if not self.changed.wait_for(lambda: any(map(fits, self)), patience):
+                raise AssertionError(f"not heard; there is {list(self)}")
+            found = next(filter(fits, self))
+            self.remove(found)
+            return found
+
+
+def started(target: Callable[..., object], *args: object) -> None:
+    threading.Thread(target=target, args=args, daemon=True).start()
+
+
+class Sip:
+    """A SIP message as a hub hears it."""
+
+    def __init__(self, hub: Hub, sock: socket.socket, head: str, body: bytes) -> None:
+        self.hub, self.sock, self.body, self.at = hub, sock, body, time.time()
+        self.first, *rest = head.split("\r\n")
+        self.headers = dict(line.split(": ", 1) for line in rest)
+        self.method, self.ref = self.first.split()[0], self.headers["Call-ID"]
+
+    def __repr__(self) -> str:
+        return f"<{self.first} {self.ref} {self.headers['CSeq']}>"
+
+    def answer(self, status: int, body: bytes = b"", **headers: str) -> None:
+        more = "".join(f"{name.replace('_', '-')}: {value}\r\n" for name, value in headers.items())
+        echo = "".join(f"{name}: {self.headers[name]}\r\n" for name in ("Via", "Call-ID", "CSeq"))
+        head = f"SIP/2.0 {status} X\r\n{echo}{more}Content-Length: {len(body)}\r\n\r\n"
+        self.sock.sendall(head.encode() + body)
+
+
+class Hub:
+    """A build hub. Group state comes first on a connection; set-ups go to ``auto`` and to the inbox."""
+
+    def __init__(self, name: str, cell: int, auto: Callable[[Sip], object] | None = None,
+                 free: int = 20) -> None:
+        self.name, self.cell, self.auto, self.free = name, cell, auto, free
+        self.heard: Inbox[Sip] = Inbox()
+        self.conns: list[socket.socket] = []
+        self.listen(0)
+
+    def listen(self, port: int) -> None:
+        self.listener = socket.create_server(("127.0.0.1", port), reuse_port=False)
+        self.port = self.listener.getsockname()[1]
+        started(self._accept, self.listener)
+
+    def _accept(self, listener: socket.socket) -> None:
+        while True:
+            try:
+                sock, _ = listener.accept()
+            except OSError:
+                return
+            self.conns.append(sock)
+            self.say(sock, "NOTIFY sip:group@net", "x", f"X-State: x0:{self.free};x1:20\r\n")
+            started(self._read, sock)
+
+    def say(self, sock: socket.socket, first: str, ref: str, more: str = "") -> None:
+        """Send a request of the hub's own."""
+        method = first.split()[0]
+        sock.sendall(f"{first} SIP/2.0\r\nVia: SIP/2.0/TCP hub\r\nCall-ID: {ref}\r\n"
+                     f"CSeq: 7 {method}\r\n{more}Content-Length: 0\r\n\r\n".encode())
+
+    def bye(self, ref: str, cause: int) -> None:
+        self.say(self.conns[-1], "BYE sip:a@net", ref, f"Reason: Q.850;cause={cause}\r\n")
+
+    def _read(self, sock: socket.socket) -> None:
+        with sock.makefile("rb") as file, suppress(OSError):
+            while head := b"".join(iter(file.readline, b"\r\n")).decode():
+                size = re.search(r"Content-Length: (\d+)", head)
+                message = Sip(self, sock, head.rstrip(), file.read(int(size[1]) if size else 0))
+                self.heard.put(message)
+                if message.method == "INVITE" and self.auto:
+                    self.auto(message)
+
+    def kill(self) -> None:
+        """Die as a process does: nothing listens and every connection ends."""
+        self.listener.shutdown(socket.SHUT_RDWR)  # else the thread in accept would keep it open
+        self.listener.close()
+        for sock in self.conns:
+            sock.shutdown(socket.SHUT_RDWR)
+        self.conns.clear()
+
+
+class Journal:
+    """The journal service: long poll over HTTP/1.1. ``stall`` holds every answer back."""
+
+    def __init__(self) -> None:
+        self.entries: list[dict[str, Any]] = []
+        self.changed = threading.Condition()
+        self.stall = False
+        self.polls: Inbox[int] = Inbox()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        started(self._accept)
+
+    def tell(self, *hubs: Hub, status: str = "Ready", snapshot: bool = False, since: int = 0) -> None:
+        endpoints = [{"name": hub.name, "address": f"127.0.0.1:{hub.port}", "zone": "east", "type": "std",
+                      "group": hub.cell, "status": status, "weight": 1, "since_ms": since} for hub in hubs]
+        with self.changed:
+            pos = len(self.entries) + 1
+            self.entries.append({"pos": pos, "hosts": {"index": pos, "snapshot": snapshot,
+                                                       "endpoints": endpoints}})
+            self.changed.notify_all()
+
+    def after(self, tail: int) -> dict[str, Any]:
+        return {"pos": len(self.entries), "entries": self.entries[tail:]}
+
+    def told(self, tail: int) -> bool:
+        return len(self.entries) > tail
+
+    def _accept(self) -> None:
+        while True:
+            started(self._serve, self.listener.accept()[0])
+
+    def _serve(self, sock: socket.socket) -> None:
+        with sock.makefile("rb") as file, suppress(OSError):
+            while head := b"".join(iter(file.readline, b"\r\n")).decode():
+                found = re.match(r"GET /journal\?tail=(\d+)&max_wait=(\d+) HTTP/1.1", head)
+                assert found, head
+                tail, wait = int(found[1]), int(found[2])
+                self.polls.put(tail)
+                if self.stall:
+                    continue
+                with self.changed:
+                    self.changed.wait_for(partial(self.told, tail), wait / 1000)
+                    body = json.dumps(self.after(tail)).encode()
+                sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+
+
+class Caller:
+    """A connection from callers."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.sock = socket.create_connection(address)
+        self.heard: Inbox[dict[str, Any]] = Inbox()
+        self.closed = threading.Event()
+        started(self._read)
+
+    def _read(self) -> None:
+        with self.sock.makefile("rb") as file, suppress(OSError):
+            for line in file:
+                self.heard.put(json.loads(line.decode("utf-8", "surrogateescape")))
+        self.closed.set()
+
+    def send(self, kind: str, ref: str, **more: Any) -> None:
+        text = json.dumps({"t": kind, "ref": ref, "f": {}} | more, ensure_ascii=False)
+        self.sock.sendall(text.encode("utf-8", "surrogateescape") + b"\n")
+
+    def new(self, ref: str, to: int = 1, body: bytes = BODY, **changes: str) -> None:
+        fields = {"class": "voice", "left": "3000", "key": "7f3a", "extras": f"dest:{to};width:1;via:-1"}
+        self.send("new", ref, f=fields | changes, d=body.decode("utf-8", "surrogateescape"))
+
+    def hear(self, kind: str, ref: str, patience: float = PATIENCE) -> dict[str, Any]:
+        return self.heard.take(lambda m: (m["t"], m["ref"]) == (kind, ref), patience)
+
+
+class World:
+    """The program among its stand-ins."""
+
+    def __init__(self, tmp: Path, hubs: list[Hub], args: tuple[str, ...] = (), **changes: Any) -> None:
+        self.tmp, self.args, self.hubs, self.journal = tmp, args, hubs, Journal()
+        self.settings = SETTINGS | changes
+        self.journal.tell(*hubs, snapshot=True)
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.address = free.getsockname()
+        self.start()
+
+    def start(self) -> None:
+        config = self.tmp / "config.json"
+        config.write_text(json.dumps({
+            "name": "n0", "seed": "8c1f30d27a5be964", "limits": {"sockets": 256},
+            "journal": f"127.0.0.1:{self.journal.listener.getsockname()[1]}",
+            "known": self.journal.after(0), "settings": self.settings,
+        }))
+        listen = f"127.0.0.1:{self.address[1]}"
+        env = os.environ | {"LB_CONFIG": str(config), "LB_LISTEN": listen, "LB_NAME": "n0"}
+        self.log = (self.tmp / "log").open("a+")
+        self.process = subprocess.Popen([sys.executable, "-m", "barleywheel", *self.args], cwd=ROOT, env=env,
+                                        stderr=self.log)
+        self.wait_for(lambda: "serving:" in self.logged() or self.process.poll() is not None)
+        assert self.process.poll() is None, self.logged()
+        for hub in self.hubs:  # its first connection is opened early, so that circuits are known
+            if hub.cell and hub.listener.fileno() >= 0:
+                self.wait_for(partial(bool, hub.conns))
+
+    def logged(self) -> str:
+        return (self.tmp / "log").read_text()
+
+    def wait_for(self, condition: Callable[[], object]) -> None:
+        until = time.monotonic() + PATIENCE
+        while not condition():
+            assert time.monotonic() < until, self.logged()
+            time.sleep(0.01)
+
+    def caller(self) -> Caller:
+        return Caller(self.address)
+
+    def stop(self) -> None:
+        self.process.kill()
+        self.process.wait()
+        self.log.close()
+
+
+@contextmanager
+def world(tmp: Path, *hubs: Hub, **changes: Any) -> Iterator[World]:
+    made = World(tmp, list(hubs), **changes)
+    try:
+        yield made
+        assert made.process.poll() is None and "Traceback" not in made.logged(), made.logged()
+    finally:
+        made.stop()
+
+
+def stands(message: Sip) -> None:
+    """A hub's answer: the call stands, with the description that came."""
+    message.answer(200, message.body, X_State="x0:12;x1:20;queue:3")
