Add the M3UA front: calls taken and placed by ISUP over M3UA on the same core

RFC 4666 framing and ASP states over TCP, ISUP basic call in DATA; circuits keyed by own point code, peer and CIC; dual seizure, exhaustion, Q.850 causes both ways, timers for RLC, BEAT and ASPUP; off unless deploy/m3ua.toml is named on the command line.

--- a/barleywheel/__main__.py
+++ b/barleywheel/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import argparse
 import logging
 import signal
 import sys
@@ -15,6 +16,7 @@
 from barleywheel.core.model import CAUSE_CUT, Rejection, now_us
 from barleywheel.core.release import Standing
 from barleywheel.facade import Facade
+from barleywheel.fronts.m3ua import M3uaFront
 from barleywheel.fronts.platform import PlatformFront
 from barleywheel.net.hubs import HubPool
 from barleywheel.net.journal import Journal
@@ -27,7 +29,7 @@
 class Router:
     """The parts of one call router, put together."""
 
-    def __init__(self, conf: config.Config) -> None:
+    def __init__(self, conf: config.Config, extras: config.Extras) -> None:
         self.deadlines = Deadlines()
         self.facade = Facade(conf.settings, conf.names, conf.seed, self.deadlines)
         self.standing = Standing(self.deadlines)
@@ -38,12 +40,18 @@
         self.standing.stranger_to = self.front
         self.journal = Journal(conf.journal, self.facade, self.hubs)
         self.stop = Event()
+        self.m3ua: M3uaFront | None = None
+        if extras.m3ua is not None:
+            self.m3ua = M3uaFront(extras.m3ua, self.life, self.facade, self.deadlines)
 
     def start(self, conf: config.Config) -> None:
         """Listen and begin to serve."""
         try:
             self.journal.apply(conf.known)
             self.front.listen(conf.listen)
+            if self.m3ua is not None:
+                self.m3ua.listen()
+                gevent.spawn(self.m3ua.run).link_exception(self._broken)
         except (KeyError, ValueError, TypeError, OSError) as error:
             raise config.ConfigError(f"can't start: {type(error).__name__}: {error}") from error
         gevent.signal_handler(signal.SIGTERM, self.stop.set)
@@ -67,12 +75,19 @@
         gevent.sleep(0.05)
 
 
+def arguments() -> argparse.Namespace:
+    """The command line."""
+    parser = argparse.ArgumentParser(prog="barleywheel", description="A call router.")
+    parser.add_argument("extras", nargs="?", help="an operator's file, such as deploy/m3ua.toml")
+    return parser.parse_args()
+
+
 def main() -> int:
     """Run until told to stop."""
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     try:
-        conf = config.load()
-        router = Router(conf)
+        conf, extras = config.load(), config.extras(arguments().extras)
+        router = Router(conf, extras)
         router.start(conf)
     except config.ConfigError as error:
         print(f"barleywheel: {error}", file=sys.stderr)
--- a/barleywheel/facade.py
+++ b/barleywheel/facade.py
@@ -88,6 +88,10 @@
         entry = self.entries.get(hub)
         return -1 if entry is None else entry.cell
 
+    def hubs_of(self, cell: int) -> list[bytes]:
+        """The hubs of an exchange."""
+        return [name for name, entry in self.entries.items() if entry.cell == cell]
+
     # Calls.
 
     def pick(self, call: Call) -> Decision:
--- /dev/null
+++ b/barleywheel/fronts/m3ua.py
@@ -0,0 +1,555 @@
+"""The second front: calls taken from and placed at exchanges that speak ISUP over M3UA over TCP.
+
+A peer is an exchange with its circuits; it outlives its links. A link is one TCP connection with the
+state of its ASP. Calls are keyed by OPC, DPC and CIC: the front has the own point code, the peer its
+one, and the circuit its CIC.
+"""
+
+from __future__ import annotations
+
+import logging
+import os
+from dataclasses import dataclass, field
+from enum import Enum
+from functools import partial
+
+import gevent
+import gevent.socket
+
+from barleywheel.config import M3uaConfig, PeerConfig
+from barleywheel.core import causes
+from barleywheel.core.deadlines import Deadlines, Handle
+from barleywheel.core.life import Life
+from barleywheel.core.model import (
+    CAUSE_CUT,
+    Attempt,
+    End,
+    Leg,
+    Note,
+    Outcome,
+    Rejection,
+    Request,
+    now_us,
+)
+from barleywheel.facade import Facade
+from barleywheel.net.connection import Connection
+from barleywheel.wire import isup, m3ua
+from barleywheel.wire.m3ua import Error, Kind, Tag
+
+log = logging.getLogger(__name__)
+RELEASES = 3  # RELs sent for one release before the circuit is taken out of service
+CONGESTED_US = 3_000_000  # how long an SCON counts unless it is told anew
+
+
+class State(Enum):
+    """State of a circuit."""
+
+    IDLE = "idle"
+    IN = "in"  # IAM heard, not yet answered
+    OUT = "out"  # IAM sent, not yet answered
+    UP = "up"
+    RELEASING = "releasing"  # REL sent or waiting for the link; RLC awaited
+    BLOCKED = "blocked"  # no RLC came: not used until the peer resets it
+
+
+class Asp(Enum):
+    """State of the peer's ASP on a link."""
+
+    DOWN = "down"
+    INACTIVE = "inactive"
+    ACTIVE = "active"
+
+
+@dataclass(eq=False)
+class Circuit:
+    """One circuit and the call on it."""
+
+    cic: int
+    state: State = State.IDLE
+    ref: str = ""
+    attempt: Attempt | None = None  # OUT: what is answered by ANM or REL
+    cause: int = 16  # RELEASING: of the release
+    queued: bool = False  # RELEASING: waits for the link
+    sent: int = 0  # RELEASING: RELs sent
+    timer: Handle | None = None
+
+
+class Link(Connection):
+    """A connection and its ASP's state."""
+
+    asp = Asp.DOWN
+    peer_of: Peer | None = None
+    heard_us = 0
+
+
+@dataclass(eq=False)
+class Peer:
+    """An exchange on the other side; the carrier of attempts there and the origin of its calls."""
+
+    front: M3uaFront
+    conf: PeerConfig
+    circuits: dict[int, Circuit] = field(default_factory=dict)
+    by_ref: dict[str, Circuit] = field(default_factory=dict)
+    link: Link | None = None
+    unavailable = False  # DUNA
+    congested_us = 0  # SCON
+
+    def __post_init__(self) -> None:
+        self.circuits = {cic: Circuit(cic) for cic in self.conf.circuits}
+
+    @property
+    def active(self) -> bool:
+        """Whether DATA may be sent."""
+        return self.link is not None and self.link.open and self.link.asp is Asp.ACTIVE
+
+    def send(self, message: isup.Message) -> bool:
+        """Send a message of a circuit; False if the link is not active."""
+        if self.link is None or not self.active:
+            return False
+        conf = self.front.conf
+        transfer = m3ua.Transfer(conf.point_code, self.conf.point_code, isup.encode(message),
+                                 ni=conf.network_indicator, sls=message.cic & 15)
+        return self.link.write(m3ua.data(transfer, conf.routing_context))
+
+    # Circuits.
+
+    def ours(self, cic: int) -> bool:
+        """Whether we control a circuit at dual seizure: the higher point code has the even ones (Q.764)."""
+        return (self.front.conf.point_code > self.conf.point_code) == (cic % 2 == 0)
+
+    def seize(self) -> Circuit | None:
+        """An idle circuit, one that we control if there is any; None when all are taken."""
+        idle = [circuit for circuit in self.circuits.values() if circuit.state is State.IDLE]
+        return min(idle, key=lambda circuit: not self.ours(circuit.cic)) if idle else None
+
+    def free(self, circuit: Circuit) -> None:
+        """The circuit is idle again."""
+        if circuit.timer is not None:
+            self.front.deadlines.drop(circuit.timer)
+        self.by_ref.pop(circuit.ref, None)
+        circuit.state = State.IDLE  # whoever still holds the old one must not release a later call by it
+        self.circuits[circuit.cic] = Circuit(circuit.cic)
+        self.tell()
+
+    def tell(self) -> None:
+        """Tell the module the circuits of the group, as a hub's NOTIFY does."""
+        if self.conf.cell is None:
+            return
+        idle = sum(circuit.state is State.IDLE for circuit in self.circuits.values())
+        for hub in self.front.facade.hubs_of(self.conf.cell):
+            self.front.facade.group(hub, {"free": idle, "size": len(self.circuits)})
+
+    def hang_up(self, circuit: Circuit, cause: int) -> None:
+        """Send REL, or let it wait for the link; the circuit is taken until RLC."""
+        circuit.state, circuit.attempt, circuit.cause, circuit.sent = State.RELEASING, None, cause, 0
+        self.by_ref.pop(circuit.ref, None)
+        self.rel(circuit)
+
+    def rel(self, circuit: Circuit) -> None:
+        """Send REL once and wait for its RLC, or queue it: it goes out when the ASP is active again."""
+        circuit.timer = None
+        if circuit.state is not State.RELEASING:
+            return
+        if circuit.sent >= RELEASES:
+            log.warning("circuit blocked, no RLC: peer=%d cic=%d", self.conf.point_code, circuit.cic)
+            circuit.state = State.BLOCKED
+        elif self.send(isup.Message(circuit.cic, isup.Type.REL, cause=circuit.cause)):
+            circuit.queued, circuit.sent = False, circuit.sent + 1
+            due = now_us() + self.front.conf.rlc_ms * 1000
+            circuit.timer = self.front.deadlines.at(due, partial(self.rel, circuit))
+        else:
+            circuit.queued = True
+
+    # The link.
+
+    def activated(self) -> None:
+        """The ASP is active: what waits goes out, each release once."""
+        waiting = [circuit for circuit in self.circuits.values() if circuit.queued]
+        if waiting:
+            log.info("waiting releases sent: peer=%d count=%d", self.conf.point_code, len(waiting))
+        for circuit in waiting:
+            self.rel(circuit)
+        self.tell()
+
+    def dropped(self) -> None:
+        """The ASP is no longer active: open set-ups end as reset, standing calls live on."""
+        for circuit in list(self.circuits.values()):
+            ref = circuit.ref
+            if circuit.state is State.OUT and circuit.attempt is not None:
+                attempt = circuit.attempt
+                self.hang_up(circuit, CAUSE_CUT)
+                attempt.end(Outcome(End.RESET))
+            elif circuit.state is State.IN:
+                self.hang_up(circuit, CAUSE_CUT)
+                self.front.life.abandon(ref)
+
+    # Carrier.
+
+    def place(self, attempt: Attempt) -> None:
+        """Seize a circuit and send IAM."""
+        if not attempt.may_send(attempt.hub):
+            attempt.end(Outcome(End.NOT_SENT))
+        elif not self.active or self.unavailable:
+            attempt.end(Outcome(End.UNREACHABLE))
+        elif now_us() < self.congested_us:
+            attempt.end(Outcome(End.FULL, Note.PROCESSOR_FULL))
+        elif (circuit := self.seize()) is None:
+            attempt.end(Outcome(End.NOT_SENT, Note.NO_CIRCUIT))
+        else:
+            request = attempt.call.request
+            category = self.front.category(request.class_name)
+            try:
+                iam = isup.Message(circuit.cic, isup.Type.IAM, request.number, category,
+                                   description=request.description)
+                isup.encode(iam)
+            except ValueError as error:  # a description that this wire has no room for
+                log.warning("call can't be placed: ref=%s %s", request.ref, error)
+                attempt.end(Outcome(End.ERROR))
+                return
+            attempt.sent_us, attempt.slot = now_us(), circuit
+            circuit.state, circuit.ref, circuit.attempt = State.OUT, request.ref, attempt
+            self.by_ref[request.ref] = circuit
+            if self.send(iam):
+                self.tell()
+            elif not attempt.over:
+                attempt.end(Outcome(End.UNREACHABLE))
+                self.free(circuit)
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Give up a set-up: its circuit is released."""
+        circuit = attempt.slot
+        if isinstance(circuit, Circuit) and circuit.attempt is attempt and attempt.outcome is not None:
+            self.hang_up(circuit, causes.TO_CAUSE[attempt.outcome.end])
+
+    def release(self, leg: Leg, cause: int) -> None:
+        """Take down a call that stands: one that we placed."""
+        circuit = leg.slot
+        if isinstance(circuit, Circuit) and circuit.state is State.UP and circuit.ref == leg.ref:
+            self.hang_up(circuit, cause)
+
+    # Origin.
+
+    def answer(self, request: Request, description: bytes) -> bool:
+        """ANM: the call stands. Where it can't be sent, the call is released instead."""
+        circuit = self.by_ref.get(request.ref)
+        if circuit is None or circuit.state is not State.IN:
+            return False
+        try:
+            anm = isup.Message(circuit.cic, isup.Type.ANM, description=description)
+            sent = self.send(anm)
+        except ValueError as error:
+            log.warning("answer can't be passed on: ref=%s %s", request.ref, error)
+            self.hang_up(circuit, causes.INTERWORKING)
+            return False
+        if sent:
+            circuit.state = State.UP
+        return sent
+
+    def reject(self, request: Request, rejection: Rejection) -> None:
+        """REL in place of an answer."""
+        circuit = self.by_ref.get(request.ref)
+        if circuit is not None and circuit.state is State.IN:
+            self.hang_up(circuit, rejection.cause)
+
+
+class Incoming:
+    """The origin of one peer's calls; a release goes to the circuit that the call is on."""
+
+    def __init__(self, peer: Peer) -> None:
+        self.peer = peer
+        self.answer, self.reject = peer.answer, peer.reject
+
+    def release(self, ref: str, cause: int) -> None:
+        """A call that stood is over."""
+        circuit = self.peer.by_ref.get(ref)
+        if circuit is not None and circuit.state is State.UP:
+            self.peer.hang_up(circuit, cause)
+
+
+class M3uaFront:
+    """Listens for the peers' ASPs; they come up, become active and carry calls."""
+
+    def __init__(self, conf: M3uaConfig, life: Life, facade: Facade, deadlines: Deadlines) -> None:
+        self.conf, self.life, self.facade, self.deadlines = conf, life, facade, deadlines
+        self.peers = {peer.point_code: Peer(self, peer) for peer in conf.peers}
+        self.origins = {code: Incoming(peer) for code, peer in self.peers.items()}
+        self.links: set[Link] = set()
+        self._listener = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_STREAM)
+        self._categories = {item.category: name for name, item in conf.classes.items()}
+        for peer in self.peers.values():
+            if peer.conf.cell is not None:
+                life.carriers[peer.conf.cell] = peer
+
+    def category(self, class_name: str) -> int:
+        """The calling party's category that stands for a class."""
+        found = self.conf.classes.get(class_name)
+        return found.category if found else 10
+
+    def listen(self) -> None:
+        """Open the listening socket."""
+        host, _, port = self.conf.listen.rpartition(":")
+        self._listener.setsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_REUSEADDR, 1)
+        self._listener.bind((host, int(port)))
+        self._listener.listen(64)
+
+    def run(self) -> None:
+        """Accept for ever."""
+        while True:
+            try:
+                sock, address = self._listener.accept()
+            except OSError as error:
+                log.warning("accept failed: %s", error)
+                gevent.sleep(0.05)
+                continue
+            if len(self.links) >= 2 * len(self.peers):
+                log.warning("connection closed, too many links: peer=%s:%d", *address[:2])
+                sock.close()
+                continue
+            gevent.spawn(self._serve, Link(sock, f"{address[0]}:{address[1]}"))
+
+    # Links.
+
+    def _serve(self, link: Link) -> None:
+        self.links.add(link)
+        link.heard_us = now_us()
+        self.deadlines.at(now_us() + self.conf.up_ms * 1000, partial(self._still_down, link))
+        self._beat(link)
+        for message in link.messages(m3ua.cut):
+            link.heard_us = now_us()
+            try:
+                self._heard(link, message)
+            except Exception:  # one peer's message may not end the process
+                log.exception("message of a peer not understood: peer=%s", link.peer)
+        self.links.discard(link)
+        self._down(link, Asp.DOWN)
+
+    def _still_down(self, link: Link) -> None:
+        if link.open and link.asp is Asp.DOWN:
+            log.warning("link closed, no ASPUP in time: peer=%s", link.peer)
+            link.close()
+
+    def _beat(self, link: Link) -> None:
+        """Send BEAT; a link that says nothing for two periods is closed."""
+        if not link.open:
+            return
+        period = self.conf.beat_ms * 1000
+        if now_us() - link.heard_us >= 2 * period:
+            log.warning("link closed, no answer to BEAT: peer=%s", link.peer)
+            link.close()
+            return
+        if link.asp is not Asp.DOWN:
+            link.write(m3ua.encode(Kind.BEAT, {Tag.HEARTBEAT: now_us().to_bytes(8, "big")}))
+        self.deadlines.at(now_us() + period, partial(self._beat, link))
+
+    def _down(self, link: Link, state: Asp) -> None:
+        """The ASP leaves the active state, or the link is gone."""
+        peer, was = link.peer_of, link.asp
+        link.asp = state
+        if peer is None or peer.link is not link:
+            return
+        if state is Asp.DOWN:
+            peer.link = None
+        if was is Asp.ACTIVE:
+            log.info("link down: peer=%d", peer.conf.point_code)
+            peer.dropped()
+
+    def _error(self, link: Link, error: Error) -> None:
+        log.warning("error sent: peer=%s code=%s", link.peer, error.name)
+        link.write(m3ua.encode(Kind.ERR, {Tag.ERROR_CODE: error.to_bytes(4, "big")}))
+
+    def _heard(self, link: Link, message: m3ua.Message) -> None:
+        if message.version != m3ua.VERSION:
+            self._error(link, Error.INVALID_VERSION)
+            return
+        context = message.number(Tag.ROUTING_CONTEXT)
+        if context is not None and context != self.conf.routing_context:
+            self._error(link, Error.INVALID_ROUTING_CONTEXT)
+            return
+        match message.code:
+            case Kind.ASPUP:
+                self._up(link, message)
+            case Kind.ASPDN:
+                self._down(link, Asp.DOWN)
+                link.write(m3ua.encode(Kind.ASPDN_ACK))
+            case Kind.BEAT:
+                data = message.parameters.get(Tag.HEARTBEAT)
+                link.write(m3ua.encode(Kind.BEAT_ACK, {Tag.HEARTBEAT: data} if data is not None else {}))
+            case Kind.BEAT_ACK | Kind.NTFY:
+                pass
+            case Kind.ERR:
+                log.warning("error heard: peer=%s code=%s", link.peer, message.number(Tag.ERROR_CODE))
+            case Kind.ASPAC | Kind.ASPIA if link.peer_of is None or link.asp is Asp.DOWN:
+                self._error(link, Error.UNEXPECTED_MESSAGE)
+            case Kind.ASPAC:
+                self._activate(link)
+            case Kind.ASPIA:
+                self._down(link, Asp.INACTIVE)
+                link.write(m3ua.encode(Kind.ASPIA_ACK, self._context()))
+                link.write(m3ua.encode(Kind.NTFY, self._context() | {Tag.STATUS: m3ua.AS_PENDING}))
+            case Kind.DATA:
+                self._data(link, message)
+            case Kind.DUNA | Kind.DAVA | Kind.SCON:
+                self._network(link, message)
+            case Kind.DAUD:
+                link.write(m3ua.encode(Kind.DAVA, self._context() | {
+                    Tag.AFFECTED: self.conf.point_code.to_bytes(4, "big")}))
+            case code if code >> 8 in (0, 1, 2, 3, 4):
+                self._error(link, Error.UNSUPPORTED_TYPE)
+            case _:
+                self._error(link, Error.UNSUPPORTED_CLASS)
+
+    def _context(self) -> dict[Tag, bytes]:
+        return {Tag.ROUTING_CONTEXT: self.conf.routing_context.to_bytes(4, "big")}
+
+    def _up(self, link: Link, message: m3ua.Message) -> None:
+        number = message.number(Tag.ASP_ID)
+        found = [peer for peer in self.peers.values() if peer.conf.asp == number] or (
+            list(self.peers.values()) if number is None and len(self.peers) == 1 else [])
+        if not found:
+            self._error(link, Error.NO_AS_FOR_ASP)
+            return
+        if link.asp is Asp.ACTIVE:  # ASPUP on an active link takes it back to inactive (RFC 4666, 4.3.4.1)
+            self._down(link, Asp.INACTIVE)
+        link.peer_of, link.asp = found[0], Asp.INACTIVE
+        link.write(m3ua.encode(Kind.ASPUP_ACK))
+        link.write(m3ua.encode(Kind.NTFY, self._context() | {Tag.STATUS: m3ua.AS_INACTIVE}))
+
+    def _activate(self, link: Link) -> None:
+        peer = link.peer_of
+        assert peer is not None
+        old = peer.link
+        if old is not None and old is not link:  # the peer came back before its old link was seen to end
+            self._down(old, Asp.DOWN)
+            old.close()
+        again = link.asp is Asp.ACTIVE
+        peer.link, link.asp, peer.unavailable = link, Asp.ACTIVE, False
+        link.write(m3ua.encode(Kind.ASPAC_ACK, self._context()))
+        if not again:
+            link.write(m3ua.encode(Kind.NTFY, self._context() | {Tag.STATUS: m3ua.AS_ACTIVE}))
+            log.info("link active: peer=%d", peer.conf.point_code)
+            peer.activated()
+
+    def _network(self, link: Link, message: m3ua.Message) -> None:
+        points = message.points()
+        if not points:
+            self._error(link, Error.MISSING_PARAMETER)
+        for point in points:
+            peer = self.peers.get(point)
+            if peer is None or link.asp is not Asp.ACTIVE:
+                continue
+            log.info("network news: peer=%d %s", point, Kind(message.code).name)
+            if message.code == Kind.SCON:
+                quiet = message.number(Tag.CONGESTION) == 0
+                peer.congested_us = 0 if quiet else now_us() + CONGESTED_US
+            else:
+                peer.unavailable = message.code == Kind.DUNA
+
+    # Calls.
+
+    def _data(self, link: Link, message: m3ua.Message) -> None:
+        transfer = m3ua.transferred(message)
+        if link.asp is not Asp.ACTIVE:
+            self._error(link, Error.UNEXPECTED_MESSAGE)
+            return
+        if transfer is None:
+            self._error(link, Error.MISSING_PARAMETER)
+            return
+        peer = self.peers.get(transfer.opc)
+        if peer is not link.peer_of or peer is None or transfer.dpc != self.conf.point_code or (
+                transfer.si != m3ua.SI_ISUP):
+            log.warning("message for nobody here dropped: peer=%s opc=%d dpc=%d si=%d", link.peer,
+                        transfer.opc, transfer.dpc, transfer.si)
+            return
+        try:
+            heard = isup.decode(transfer.user)
+        except isup.Unreadable as error:
+            log.warning("ISUP message dropped: peer=%d %s", transfer.opc, error)
+            return
+        circuit = peer.circuits.get(heard.cic)
+        if circuit is None:
+            log.warning("circuit not equipped: peer=%d cic=%d", transfer.opc, heard.cic)
+            return
+        match heard.type:
+            case isup.Type.IAM:
+                self._iam(peer, circuit, heard)
+            case isup.Type.ANM:
+                self._anm(peer, circuit, heard)
+            case isup.Type.REL | isup.Type.RSC:
+                self._rel(peer, circuit, heard)
+            case isup.Type.RLC:
+                if circuit.state is State.RELEASING and not circuit.queued:
+                    peer.free(circuit)
+            case isup.Type.ACM:
+                pass  # progress
+            case _:
+                log.info("ISUP message not used: peer=%d type=%d", transfer.opc, heard.type)
+
+    def _iam(self, peer: Peer, circuit: Circuit, heard: isup.Message) -> None:
+        if circuit.state is State.OUT and not peer.ours(circuit.cic):
+            self._back_off(peer, circuit)
+            circuit = peer.circuits[circuit.cic]
+        if circuit.state is not State.IDLE:
+            # Dual seizure of a circuit that we control, or a repeat: the other side backs off.
+            log.info("IAM on a taken circuit dropped: peer=%d cic=%d", peer.conf.point_code, circuit.cic)
+            return
+        class_name = self._categories.get(heard.category, "")
+        known = self.conf.classes.get(class_name)
+        ref = os.urandom(8).hex()
+        circuit.state, circuit.ref = State.IN, ref
+        peer.by_ref[ref] = circuit
+        peer.tell()
+        peer.send(isup.Message(circuit.cic, isup.Type.ACM))
+        self.life.take(Request(
+            ref=ref,
+            class_name=class_name,
+            left_us=known.patience_ms * 1000 if known else 0,
+            destination=self._destination(heard.number),
+            number=heard.number,
+            description=heard.description,
+            received_us=now_us(),
+            origin=self.origins[peer.conf.point_code],
+        ))
+
+    def _destination(self, number: str) -> int:
+        """The cell of the longest prefix that fits; -1 for none."""
+        fits = [prefix for prefix in self.conf.numbers if number.startswith(prefix)]
+        return self.conf.numbers[max(fits, key=len)] if fits else -1
+
+    def _back_off(self, peer: Peer, circuit: Circuit) -> None:
+        """Dual seizure lost: our set-up goes on over another circuit, if there is one."""
+        attempt = circuit.attempt
+        log.info("dual seizure lost: peer=%d cic=%d", peer.conf.point_code, circuit.cic)
+        peer.free(circuit)
+        if attempt is not None and not attempt.over:
+            peer.circuits[circuit.cic].state = State.BLOCKED  # not for the new try: the peer's call has it
+            peer.place(attempt)
+            peer.circuits[circuit.cic].state = State.IDLE
+
+    def _anm(self, peer: Peer, circuit: Circuit, heard: isup.Message) -> None:
+        attempt = circuit.attempt
+        if circuit.state is State.OUT and attempt is not None:
+            circuit.attempt = None
+            circuit.state = State.UP
+            if not attempt.end(Outcome(End.STANDS, description=heard.description, at_us=now_us())):
+                peer.hang_up(circuit, 16)  # the answer came in the turn in which the attempt was given up
+
+    def _rel(self, peer: Peer, circuit: Circuit, heard: isup.Message) -> None:
+        """The peer releases, or resets, a circuit: RLC, and whatever was on it is over."""
+        state, ref, attempt = circuit.state, circuit.ref, circuit.attempt
+        peer.free(circuit)
+        peer.send(isup.Message(circuit.cic, isup.Type.RLC))
+        cause = heard.cause if heard.type == isup.Type.REL else CAUSE_CUT
+        if state is State.OUT and attempt is not None:
+            end, note = causes.from_cause(cause)
+            attempt.end(Outcome(end, note, at_us=now_us()))
+        elif state is State.IN:
+            self.life.abandon(ref)
+        elif state is State.UP and ref in self.life.standing.legs:
+            leg = self.life.standing.legs[ref]
+            if leg.carrier is peer:
+                self.life.standing.by_hub(ref, cause)
+            else:
+                self.life.standing.by_caller(ref, cause)
+        elif state is State.UP and peer.conf.cell is not None:
+            for hub in self.facade.hubs_of(peer.conf.cell):  # answered a moment ago, not yet passed on
+                self.life.released(hub, ref, cause)
--- a/tests/netrig.py
+++ b/tests/netrig.py
@@ -84,6 +84,7 @@
         self.name, self.cell, self.auto, self.free = name, cell, auto, free
         self.heard: Inbox[Sip] = Inbox()
         self.conns: list[socket.socket] = []
+        self.early = True  # a connection to it is opened early; not if another carrier reaches its exchange
         self.listen(0)
 
     def listen(self, port: int) -> None:
@@ -226,7 +227,7 @@
         self.wait_for(lambda: "serving:" in self.logged() or self.process.poll() is not None)
         assert self.process.poll() is None, self.logged()
         for hub in self.hubs:  # its first connection is opened early, so that circuits are known
-            if hub.cell and hub.listener.fileno() >= 0:
+            if hub.cell and hub.early and hub.listener.fileno() >= 0:
                 self.wait_for(partial(bool, hub.conns))
 
     def logged(self) -> str:
