Release the calls of a hub that has been silent for 7.3 s

Checked: the hub list and the log of node n1. A hub vanished at 7.4 s; its calls ended while it was cut off, which nothing tells, and the connections stayed open until its return at 32.7 s. Ruled out: lost releases (none had come), a caller's missing connection (4 were open a node). At fault: net/hubs.py, which waited for a release or the end of the connection. A hub that can't be reached anew, or is gone with connections open, is now given 7.3 s from the last byte heard; a hub silent for 3 s gets a new connection in place of the old, so that a quiet hub is told from a lost one.

--- a/barleywheel/net/hubs.py
+++ b/barleywheel/net/hubs.py
@@ -19,6 +19,8 @@
 log = logging.getLogger(__name__)
 MOST = 4  # connections a hub
 RETRY_S = (0.1, 0.25, 0.5, 1.0)  # waits between tries to reach a hub that can't be reached
+SILENT_US = 7_300_000  # calls at a hub that vanished so long ago are released: 8 s after an end is too late
+DOUBT_US = 3_000_000  # after so much silence a new connection must show that the hub is there
 RELEASE_KEPT_US = 8_000_000  # how long a release waits for a connection to its hub
 ENDS = {503: End.FULL, 486: End.ERROR, 500: End.ERROR, 480: End.NOT_SENT, 504: End.RESET}
 NOTES = {note.value: note for note in Note}
@@ -49,6 +51,8 @@
         self.conns: list[HubConnection] = []
         self.connecting = 0
         self.gone = False
+        self.heard_us = now_us()
+        self.doubted_us = 0  # the heard_us for which a release of its calls is already due
         self.wake = Event()
         self.releases: list[tuple[int, str, int, str, int]] = []  # waiting for a connection: until, BYE
 
@@ -90,7 +94,9 @@
         if hub is not None:
             hub.gone = True
             hub.wake.set()
-            if not hub.conns:
+            if hub.conns:
+                self._doubt(hub)
+            else:
                 self.life.standing.hub_dead(name)
 
     # Connections.
@@ -101,11 +107,35 @@
         while not hub.gone:
             if hub.usable() is None and len(hub.conns) + hub.connecting < MOST and not self._replaced(hub):
                 tries = 0 if self._connect(hub) else tries + 1
+            elif now_us() - hub.heard_us > DOUBT_US:
+                self._renew(hub)
             hub.wake.clear()
-            if hub.usable() is None or not hub.conns:
-                hub.wake.wait(RETRY_S[min(tries, len(RETRY_S) - 1)])
-            else:
-                hub.wake.wait()
+            hub.wake.wait(RETRY_S[min(tries, len(RETRY_S) - 1)] if hub.usable() is None else 1.0)
+
+    def _renew(self, hub: Hub) -> None:
+        """Put a new connection in the place of a silent one: a machine that vanished lets none come up."""
+        old = [conn for conn in hub.conns if not conn.setups]
+        if self._connect(hub) is None:
+            for conn in hub.conns:
+                conn.suspect = True
+        else:
+            for conn in old:
+                conn.close()
+
+    def _doubt(self, hub: Hub) -> None:
+        """The hub can't be reached, or is gone with connections open: unless heard, its calls are over."""
+        heard = hub.heard_us
+        if hub.doubted_us != heard:
+            hub.doubted_us = heard
+
+            def check() -> None:
+                # Guards calls that end while their hub is cut off: nothing says so, and yet their
+                # callers must be told within 8 s. Those that would have gone on are lost with them.
+                if hub.heard_us == heard:
+                    log.warning("calls of a silent hub released: hub=%s", hub.name.decode())
+                    self.life.standing.hub_dead(hub.name)
+
+            self.deadlines.at(max(heard + SILENT_US, now_us()), check)
 
     def _replaced(self, hub: Hub) -> bool:
         """A new hub may have the address of one that drains or is gone."""
@@ -126,9 +156,12 @@
             log.info("hub not reached: hub=%s %s", hub.name.decode(), error)
             if isinstance(error, ConnectionRefusedError) and not hub.conns:
                 self.life.standing.hub_dead(hub.name)  # its process is dead, and its calls are cut
+            else:
+                self._doubt(hub)
             return None
         finally:
             hub.connecting -= 1
+        hub.heard_us = now_us()
         conn = HubConnection(sock, hub.name.decode())
         hub.conns.append(conn)
         gevent.spawn(self._read, hub, conn)
@@ -140,7 +173,8 @@
 
     def _read(self, hub: Hub, conn: HubConnection) -> None:
         for message in conn.messages(sip.cut):
-            conn.heard_us, conn.suspect = now_us(), False
+            conn.heard_us = hub.heard_us = now_us()
+            conn.suspect = False
             try:
                 self._heard(hub, conn, message)
             except Exception:  # no hub's message may end the process, or the connection's other calls
--- a/tests/netrig.py
+++ b/tests/netrig.py
@@ -120,6 +120,18 @@
                 if message.method == "INVITE" and self.auto:
                     self.auto(message)
 
+    def vanish(self) -> None:
+        """Fall silent as a machine that is cut off: connections stay open, and new ones never come up."""
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        self.listener = socket.create_server(("127.0.0.1", self.port), backlog=0)
+        self.waiting = []  # nobody accepts, so the backlog is full after a few of these
+        for _ in range(4):
+            self.waiting.append(socket.socket())
+            self.waiting[-1].setblocking(False)
+            with suppress(BlockingIOError):
+                self.waiting[-1].connect(("127.0.0.1", self.port))
+
     def kill(self) -> None:
         """Die as a process does: nothing listens and every connection ends."""
         self.listener.shutdown(socket.SHUT_RDWR)  # else the thread in accept would keep it open
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -203,6 +203,21 @@
         assert caller.hear("down", REF)["c"] == 41
 
 
+def test_calls_of_a_vanished_hub_are_released(tmp_path: Path) -> None:
+    """Their ends are never told, and their callers must hear within 8 s of them."""
+    hub, well = Hub("h1", 1, stands), Hub("h2", 2, stands)
+    with world(tmp_path, hub, well) as made:
+        caller = made.caller()
+        caller.new(REF)
+        caller.new(OTHER, to=2)
+        caller.hear("up", REF)
+        caller.hear("up", OTHER)
+        hub.vanish()
+        assert caller.hear("down", REF)["c"] == 41
+        assert "silent hub" in made.logged()
+        assert not caller.heard  # the other hub is silent too, but reached: its calls stand
+
+
 def test_release_after_a_restart_waits_for_a_connection(tmp_path: Path) -> None:
     hub = Hub("h1", 1, stands)
     with world(tmp_path, hub) as made:
