--- a/barleywheel/__main__.py
+++ b/barleywheel/__main__.py
@@ -40,6 +40,7 @@
         self.standing.stranger_to = self.front
         self.journal = Journal(conf.journal, self.facade, self.hubs)
         self.stop = Event()
+        self.snmp = extras.snmp
         self.m3ua: M3uaFront | None = None
         if extras.m3ua is not None:
             self.m3ua = M3uaFront(extras.m3ua, self.life, self.facade, self.deadlines)
@@ -52,6 +53,11 @@
             if self.m3ua is not None:
                 self.m3ua.listen()
                 gevent.spawn(self.m3ua.run).link_exception(self._broken)
+            if self.snmp is not None:
+                from barleywheel.snmp.agent import Agent  # only here: it loads a library of its own
+
+                agent = Agent(self, self.snmp.listen, self.snmp.community)
+                gevent.spawn(agent.run).link_exception(self._broken)
         except (KeyError, ValueError, TypeError, OSError) as error:
             raise config.ConfigError(f"can't start: {type(error).__name__}: {error}") from error
         gevent.signal_handler(signal.SIGTERM, self.stop.set)
--- a/barleywheel/net/hubs.py
+++ b/barleywheel/net/hubs.py
@@ -115,9 +115,12 @@
     def _renew(self, hub: Hub) -> None:
         """Put a new connection in the place of a silent one: a machine that vanished lets none come up."""
         old = [conn for conn in hub.conns if not conn.setups]
-        if self._connect(hub) is None:
+        if len(hub.conns) + hub.connecting >= MOST:
+            if old:
+                old[0].close()
+        elif self._connect(hub) is None:
             for conn in hub.conns:
-                conn.suspect = True
+                conn.suspect = now_us() - hub.heard_us > DOUBT_US
         else:
             for conn in old:
                 conn.close()
@@ -154,10 +157,13 @@
         except (OSError, ValueError) as error:
             sock.close()
             log.info("hub not reached: hub=%s %s", hub.name.decode(), error)
-            if isinstance(error, ConnectionRefusedError) and not hub.conns:
+            if not isinstance(error, ConnectionRefusedError):
+                self._doubt(hub)
+            elif not hub.conns:
                 self.life.standing.hub_dead(hub.name)  # its process is dead, and its calls are cut
             else:
-                self._doubt(hub)
+                # Guards calls through a draining hub: it takes no new connections, and keeps those it has.
+                hub.heard_us = now_us()
             return None
         finally:
             hub.connecting -= 1
--- /dev/null
+++ b/barleywheel/snmp/agent.py
@@ -0,0 +1,147 @@
+"""The agent: SNMPv2c over UDP, GET, GETNEXT and GETBULK, read-only. See BARLEYWHEEL-MIB.txt.
+
+BER and the messages come from pysnmp; this module is imported only where the agent is set up.
+"""
+
+from __future__ import annotations
+
+import logging
+from bisect import bisect_right
+from typing import TYPE_CHECKING, Any
+
+import gevent.socket
+from pyasn1.codec.ber import decoder, encoder
+from pyasn1.error import PyAsn1Error
+from pysnmp.proto.api import v2c
+from pysnmp.proto.error import ProtocolError
+
+from barleywheel.core.model import End, now_us
+
+if TYPE_CHECKING:
+    from barleywheel.__main__ import Router
+
+log = logging.getLogger(__name__)
+Oid = tuple[int, ...]
+SYSTEM: Oid = (1, 3, 6, 1, 2, 1, 1)
+ROOT: Oid = (1, 3, 6, 1, 4, 1, 8072, 9999, 9999, 3868)
+CALLS, REJECTED, OUTCOMES, HUBS, LINKS = (ROOT + (number,) for number in (1, 2, 3, 4, 5))
+MOST_VARBINDS = 64  # more than this of a GETBULK would not fit a datagram
+LINK_STATES = {"down": 1, "inactive": 2, "active": 3}
+
+
+class Agent:
+    """Answers from what the router's parts count and hold."""
+
+    def __init__(self, router: Router, listen: str, community: str) -> None:
+        self.router, self.community = router, community.encode()
+        self.started_us = now_us()
+        self.hub_numbers: dict[bytes, int] = {}
+        host, _, port = listen.rpartition(":")
+        self.sock = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_DGRAM)
+        self.sock.bind((host, int(port)))
+
+    def run(self) -> None:
+        """Answer for ever."""
+        while True:
+            data, peer = self.sock.recvfrom(65535)
+            try:
+                answer = self.answer(data)
+                if answer is not None:
+                    self.sock.sendto(answer, peer)
+            except Exception as error:  # no datagram may end the agent
+                log.warning("SNMP message dropped: peer=%s:%d %s", *peer[:2], type(error).__name__)
+
+    def view(self) -> dict[Oid, Any]:
+        """All objects as they are now."""
+        router, life = self.router, self.router.life
+        counts, gauge, counter = life.counts, v2c.Gauge32, v2c.Counter32
+        found: dict[Oid, Any] = {
+            SYSTEM + (1, 0): v2c.OctetString("barleywheel call router"),
+            SYSTEM + (3, 0): v2c.TimeTicks((now_us() - self.started_us) // 10_000 & 0xFFFFFFFF),
+            CALLS + (1, 0): counter(counts["calls"] & 0xFFFFFFFF),
+            CALLS + (2, 0): counter(counts["stood"] & 0xFFFFFFFF),
+            CALLS + (3, 0): counter(counts["abandoned"] & 0xFFFFFFFF),
+            CALLS + (4, 0): gauge(len(life.open)),
+            CALLS + (5, 0): gauge(len(router.standing.legs)),
+            CALLS + (6, 0): counter(counts["attempts"] & 0xFFFFFFFF),
+            CALLS + (7, 0): v2c.Integer32(1 if router.journal.alive else 2),
+        }
+        for name, count in counts.items():
+            if name.startswith("rejected."):
+                found[REJECTED + (1, 2, int(name[9:]))] = counter(count & 0xFFFFFFFF)
+        for number, end in enumerate(End, 1):
+            found[OUTCOMES + (1, 2, number)] = v2c.OctetString(end.value)
+            found[OUTCOMES + (1, 3, number)] = counter(counts[f"outcome.{end.value}"] & 0xFFFFFFFF)
+        for key, entry in router.facade.entries.items():
+            row = self.hub_numbers.setdefault(key, len(self.hub_numbers) + 1)
+            hub = router.hubs.hubs.get(key)
+            found[HUBS + (1, 2, row)] = v2c.OctetString(key)
+            found[HUBS + (1, 3, row)] = v2c.Integer32(entry.cell)
+            found[HUBS + (1, 4, row)] = v2c.Integer32(1 if router.facade.ready(key) else 2)
+            found[HUBS + (1, 5, row)] = gauge(len(hub.conns) if hub else 0)
+        for code, peer in (router.m3ua.peers if router.m3ua else {}).items():
+            state = peer.link.asp.value if peer.link else "down"
+            found[LINKS + (1, 2, code)] = v2c.Integer32(LINK_STATES[state])
+            found[LINKS + (1, 3, code)] = gauge(len(peer.circuits))
+            found[LINKS + (1, 4, code)] = gauge(sum(c.state.value != "idle" for c in peer.circuits.values()))
+        return found
+
+    def answer(self, data: bytes) -> bytes | None:
+        """The answer to a message; None where there is none to give."""
+        try:
+            message, _ = decoder.decode(data, asn1Spec=v2c.Message())
+        except (PyAsn1Error, ProtocolError):
+            log.warning("SNMP message dropped: no SNMPv2c message")
+            return None
+        if int(v2c.apiMessage.get_version(message)) != 1 or (
+                bytes(v2c.apiMessage.get_community(message)) != self.community):
+            log.warning("SNMP message dropped: other version or community")
+            return None
+        pdu = v2c.apiMessage.get_pdu(message)
+        view = self.view()
+        order = sorted(view)
+        if pdu.isSameTypeWith(v2c.GetBulkRequestPDU()):
+            names = [tuple(name) for name, _ in v2c.apiBulkPDU.get_varbinds(pdu)]
+            once = max(0, int(v2c.apiBulkPDU.get_non_repeaters(pdu)))
+            times = max(0, int(v2c.apiBulkPDU.get_max_repetitions(pdu)))
+            values = self._bulk(view, order, names, once, times)
+        elif pdu.isSameTypeWith(v2c.GetNextRequestPDU()):
+            values = [self._next(view, order, tuple(name)) for name, _ in v2c.apiPDU.get_varbinds(pdu)]
+        elif pdu.isSameTypeWith(v2c.GetRequestPDU()):
+            values = [(tuple(name), self._get(view, order, tuple(name)))
+                      for name, _ in v2c.apiPDU.get_varbinds(pdu)]
+        elif pdu.isSameTypeWith(v2c.SetRequestPDU()):
+            values = None
+        else:
+            return None
+        response = v2c.apiMessage.get_response(message)
+        answer = v2c.apiMessage.get_pdu(response)
+        if values is None:
+            v2c.apiPDU.set_varbinds(answer, v2c.apiPDU.get_varbinds(pdu))
+            v2c.apiPDU.set_error_status(answer, 17)  # notWritable
+            v2c.apiPDU.set_error_index(answer, 1)
+        else:
+            v2c.apiPDU.set_varbinds(answer, [(v2c.ObjectIdentifier(name), value) for name, value in values])
+        encoded: bytes = encoder.encode(response)
+        return encoded
+
+    def _get(self, view: dict[Oid, Any], order: list[Oid], name: Oid) -> Any:
+        if name in view:
+            return view[name]
+        at = bisect_right(order, name[:-1])
+        known = at < len(order) and order[at][: len(name) - 1] == name[:-1]
+        return v2c.NoSuchInstance("") if known else v2c.NoSuchObject("")
+
+    def _next(self, view: dict[Oid, Any], order: list[Oid], name: Oid) -> tuple[Oid, Any]:
+        at = bisect_right(order, name)
+        return (order[at], view[order[at]]) if at < len(order) else (name, v2c.EndOfMibView(""))
+
+    def _bulk(self, view: dict[Oid, Any], order: list[Oid], names: list[Oid], once: int,
+              times: int) -> list[tuple[Oid, Any]]:
+        found = [self._next(view, order, name) for name in names[:once]]
+        names = names[once:]
+        while names and times > 0 and len(found) + len(names) <= MOST_VARBINDS:
+            row = [self._next(view, order, name) for name in names]
+            found += row
+            names, times = [name for name, _ in row], times - 1
+        return found
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -5,6 +5,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -218,6 +219,20 @@
         assert not caller.heard  # the other hub is silent too, but reached: its calls stand
 
 
+def test_calls_through_a_draining_hub_live_on_while_it_refuses_connections(tmp_path: Path) -> None:
+    hub = Hub("h1", 1, stands)
+    with world(tmp_path, hub) as made:
+        caller = made.caller()
+        caller.new(REF)
+        caller.hear("up", REF)
+        hub.listener.shutdown(socket.SHUT_RDWR)
+        hub.listener.close()
+        made.wait_for(lambda: made.logged().count("hub not reached") >= 3)  # silent, and looked for every 3 s
+        assert not caller.heard and "silent hub" not in made.logged()
+        hub.bye(REF, 41)
+        assert caller.hear("down", REF)["c"] == 41
+
+
 def test_release_after_a_restart_waits_for_a_connection(tmp_path: Path) -> None:
     hub = Hub("h1", 1, stands)
     with world(tmp_path, hub) as made:
