--- a/barleywheel/__main__.py
+++ b/barleywheel/__main__.py
@@ -23,7 +23,8 @@
 
 log = logging.getLogger("barleywheel")
 ACCEPT_S = 0.9  # how long after SIGTERM new set-ups may still come
-LEAVE_S = 3.4  # by then all is answered: SIGKILL may follow at 3.7 s
+LONGEST_S = 3.0  # SIGKILL may follow 0.7 s after the longest deadline, which counts as no more than this
+LEAVE_S = 0.4  # what is left this long after that deadline is failed at once: the answers need time to go
 
 
 class Router:
@@ -39,7 +40,8 @@
         self.front = PlatformFront(self.life, self.deadlines, conf.sockets // 2)
         self.standing.stranger_to = self.front
         self.journal = Journal(conf.journal, self.facade, self.hubs)
-        self.stop = Event()
+        self.stop, self.reload = Event(), Event()
+        self.leave_s = min(LONGEST_S, max(c.deadline_us for c in conf.settings.classes) / 1e6) + LEAVE_S
         self.snmp = extras.snmp
         self.m3ua: M3uaFront | None = None
         if extras.m3ua is not None:
@@ -47,6 +49,9 @@
 
     def start(self, conf: config.Config) -> None:
         """Listen and begin to serve."""
+        gevent.signal_handler(signal.SIGHUP, self.reload.set)  # before anything else: it must never end us
+        gevent.signal_handler(signal.SIGTERM, self.stop.set)
+        gevent.signal_handler(signal.SIGINT, self.stop.set)
         try:
             self.journal.apply(conf.known)
             self.front.listen(conf.listen)
@@ -60,19 +65,30 @@
                 gevent.spawn(agent.run).link_exception(self._broken)
         except (KeyError, ValueError, TypeError, OSError) as error:
             raise config.ConfigError(f"can't start: {type(error).__name__}: {error}") from error
-        gevent.signal_handler(signal.SIGTERM, self.stop.set)
-        gevent.signal_handler(signal.SIGINT, self.stop.set)
-        for part in (self.deadlines.run, self.journal.run, self.front.run):
+        for part in (self.deadlines.run, self.journal.run, self.front.run, self._reload):
             gevent.spawn(part).link_exception(self._broken)
 
+    def _reload(self) -> None:
+        """Read the configuration again whenever SIGHUP asks for it, and follow a journal that moved."""
+        while True:
+            self.reload.wait()
+            self.reload.clear()
+            try:
+                conf = config.load()
+            except config.ConfigError as error:
+                log.warning("configuration not reloaded, the old one stays: %s", error)
+                continue
+            log.info("configuration reloaded: journal=%s", conf.journal)
+            self.journal.move(conf.journal)
+
     def _broken(self, greenlet: object) -> None:
         log.critical("a part of the router ended: %s", greenlet)
 
     def leave(self) -> None:
         """Finish what is taken: callers may still send for a while."""
         self.front.leaving = True
-        until = now_us() + int(LEAVE_S * 1e6)
-        gevent.sleep(ACCEPT_S)
+        until = now_us() + int(self.leave_s * 1e6)
+        gevent.sleep(min(ACCEPT_S, self.leave_s))
         self.front.close()
         while (self.life.open or not self.front.idle()) and now_us() < until:
             gevent.sleep(0.02)
--- a/barleywheel/net/journal.py
+++ b/barleywheel/net/journal.py
@@ -6,9 +6,9 @@
 import logging
 from typing import Any
 
-import gevent
 import gevent.socket
 import httptools
+from gevent.event import Event
 
 from barleywheel.facade import Facade
 from barleywheel.net.buffer import Buffer
@@ -45,6 +45,17 @@
         self.address, self.facade, self.hubs = address, facade, hubs
         self.pos = 0
         self.alive = False  # for the agent
+        self._sock: gevent.socket.socket | None = None
+        self._moved = Event()
+
+    def move(self, address: str) -> None:
+        """Go on at another address, from the next number on; the old connection is dropped."""
+        if address == self.address:
+            return
+        self.address = address
+        self._moved.set()
+        if self._sock is not None:
+            self._sock.close()  # wakes a poll that is being held
 
     def apply(self, answer: dict[str, Any]) -> None:
         """Take the events of an answer, each of them once."""
@@ -68,17 +79,18 @@
     def run(self) -> None:
         """Poll for ever, over one connection while it works."""
         while True:
+            self._moved.clear()
             try:
                 self._follow()
             except (OSError, ValueError, TypeError, KeyError, httptools.HttpParserError) as error:
-                if self.alive:
+                if self.alive and not self._moved.is_set():
                     log.warning("journal poll broken off, opened anew: %s", error or type(error).__name__)
                 self.alive = False
-            gevent.sleep(RETRY_S)
+            self._moved.wait(RETRY_S)
 
     def _follow(self) -> None:
         host, _, port = self.address.rpartition(":")
-        sock = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_STREAM)
+        sock = self._sock = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_STREAM)
         try:
             sock.settimeout(CONNECT_S)
             sock.connect((host, int(port)))
@@ -90,6 +102,7 @@
                              f"Host: {self.address}\r\n\r\n".encode())
                 again = self._poll(sock, buffer)
         finally:
+            self._sock = None
             sock.close()
 
     def _poll(self, sock: gevent.socket.socket, buffer: Buffer) -> bool:
--- a/tests/netrig.py
+++ b/tests/netrig.py
@@ -226,19 +226,23 @@
 
     def __init__(self, tmp: Path, hubs: list[Hub], args: tuple[str, ...] = (), **changes: Any) -> None:
         self.tmp, self.args, self.hubs, self.journal = tmp, args, hubs, Journal()
+        self.limits = {"sockets": 256, "memory_mb": 64}
         self.settings = SETTINGS | changes
         self.journal.tell(*hubs, snapshot=True)
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.address = free.getsockname()
         self.start()
 
-    def start(self) -> None:
-        config = self.tmp / "config.json"
-        config.write_text(json.dumps({
-            "name": "n0", "seed": "8c1f30d27a5be964", "limits": {"sockets": 256},
+    def config(self) -> str:
+        return json.dumps({
+            "name": "n0", "seed": "8c1f30d27a5be964", "limits": self.limits,
             "journal": f"127.0.0.1:{self.journal.listener.getsockname()[1]}",
             "known": self.journal.after(0), "settings": self.settings,
-        }))
+        })
+
+    def start(self) -> None:
+        config = self.tmp / "config.json"
+        config.write_text(self.config())
         listen = f"127.0.0.1:{self.address[1]}"
         env = os.environ | {"LB_CONFIG": str(config), "LB_LISTEN": listen, "LB_NAME": "n0"}
         self.log = (self.tmp / "log").open("a+")
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from tests.netrig import BODY, PATIENCE, ROOT, Hub, Sip, stands, world
+from tests.netrig import BODY, PATIENCE, ROOT, Hub, Journal, Sip, stands, world
 
 REF = "9b1f03aa5c7e2d41"
 OTHER = "9b1f03aa5c7e2d42"
@@ -334,6 +334,41 @@
         made.process.poll = lambda: None  # type: ignore[method-assign]
 
 
+def test_sighup_follows_the_journal_to_its_new_address(tmp_path: Path) -> None:
+    hub = Hub("h1", 1, stands)
+    with world(tmp_path, Hub("h0", 0), hub) as made:
+        old, made.journal = made.journal, Journal()
+        made.journal.entries = list(old.entries)
+        old.stall = True  # it holds the poll and tells nothing more
+        config = tmp_path / "config.json"
+        config.write_text(made.config())
+        made.process.send_signal(signal.SIGHUP)
+        assert made.journal.polls.take(lambda tail: True) == 1  # goes on from the next number
+        new = Hub("h2", 2, stands)
+        made.journal.tell(new)
+        made.wait_for(lambda: new.conns)
+        config.write_text("{")
+        made.process.send_signal(signal.SIGHUP)
+        made.wait_for(lambda: "configuration not reloaded" in made.logged())
+        made.journal.tell(hub, status="Terminating")  # the old settings stay
+        made.wait_for(lambda: "hub=h1 group=1 state=Terminating" in made.logged())
+
+
+def test_sigterm_fails_what_is_open_before_a_short_deadline_lets_sigkill_come(tmp_path: Path) -> None:
+    hub = Hub("h1", 1, silent)
+    classes = [{"name": "voice", "aim_us": 9_000_000, "hard_limit_us": 1_000_000, "worth": 1.0}]
+    with world(tmp_path, hub, classes=classes) as made:
+        caller = made.caller()
+        caller.new(REF, left="900000")
+        invite(hub)
+        at = time.monotonic()
+        made.process.send_signal(signal.SIGTERM)
+        caller.hear("down", REF)
+        assert made.process.wait(PATIENCE) == 0
+        assert "left: open=0" in made.logged() and time.monotonic() - at < 3.0  # a fixed 3.4 s came too late
+        made.process.poll = lambda: None  # type: ignore[method-assign]
+
+
 @pytest.mark.parametrize(
     "text",
     [None, "no json", "{}", json.dumps({"settings": {"classes": []}}),
