Repeat a call that ended in error over a connection that has not carried it

Checked: the log shows one hub, s-, status 500 and no note; a probe of every answer shows that it errs on 82 of 100 set-ups, spread over classes and numbers, and that the rest stand in 22 ms. At fault: brain._ended failed every error though the class may be repeated; net/hubs.place used the same connection again. Changed: three repeats at most, where a repeat is harmless, in time and nobody is pressed; each over a connection that has not carried the call. A set-up that finds four connections being opened waits for them in place of ending as unreachable, which opened the breaker.

--- a/barleywheel/brain.py
+++ b/barleywheel/brain.py
@@ -38,6 +38,7 @@
 REPEATS = 10  # after so many periods a report is told again though nothing in it changed
 TOLD_STEP, TOLD_FADE = 0.2, 1.03  # change of our told fraction told at once; rise of a told one an epoch
 OWN_FAULT = 3  # exchanges that fail at once, and none whose calls stand: our own processor's fault
+ERROR_REPEATS = 3  # further attempts of a call whose last one ended in error: a hub has four connections
 BURST, BURST_LEAST = 2.0, 4.0  # set-ups out that are a burst: times what leaves in the wait bound; at least
 MARGIN_TICKS = 2  # batches between our last moment for an answer and the caller's
 
@@ -243,13 +244,28 @@
             self.engaged[call.offer.number] = self.now + ENGAGED_US
             if len(self.engaged) > ENGAGED_KEPT:
                 del self.engaged[next(iter(self.engaged))]
-        if outcome not in (Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.NOT_SENT):
+        if outcome is Outcome.ERROR and self._repeats(call, exchange, event.cause):
+            call.tried.remove(exchange.entry.exchange)
+            self._route(call, first=False)
+        elif outcome not in (Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.NOT_SENT):
             self._fail(call)  # it may have run, or what it held may stay taken (rule 5): not sent again
         elif full or event.beyond_full or call.offer.in_transit or direct and outcome is Outcome.UNREACHABLE:
             self._refuse(call)  # the far processor is the same by any route
         else:
             self._route(call, first=False)  # crankback
 
+    def _repeats(self, call: Call, exchange: Exchange, cause: Cause) -> bool:
+        """Whether a call that ended in error goes out once more, at once: errors may be a share of all only.
+
+        Guards calls towards an exchange that fails quickly and often; harmful if an error costs it as much as
+        a call, so not while it or we are pressed. Only where a repeat is harmless and can still be in time.
+        """
+        took = self.now - call.sent_us
+        return (call.kind.effect is api.Effect.FREE and cause is Cause.NONE and not call.offer.in_transit
+                and exchange.entry.cell == call.offer.destination and call.attempts <= ERROR_REPEATS
+                and self.now + took < call.taken_us + call.kind.aim_us and self._unpressed(exchange)
+                and self.f >= PRESSED)
+
     # Routes.
 
     def _route(self, call: Call, first: bool) -> None:
--- a/barleywheel/net/hubs.py
+++ b/barleywheel/net/hubs.py
@@ -12,7 +12,7 @@
 
 from barleywheel.core.deadlines import Deadlines
 from barleywheel.core.life import Life
-from barleywheel.core.model import Attempt, End, Leg, Note, Outcome, now_us
+from barleywheel.core.model import Attempt, Call, End, Leg, Note, Outcome, now_us
 from barleywheel.facade import Facade
 from barleywheel.net.connection import Connection
 from barleywheel.wire import sip
@@ -63,12 +63,17 @@
         self.gone = False
         self.heard_us = now_us()
         self.doubted_us = 0  # the heard_us for which a release of its calls is already due
-        self.wake = Event()
+        self.wake, self.came = Event(), Event()  # for its keeper; a try to connect has ended
         self.releases: list[tuple[int, str, int, str, int]] = []  # waiting for a connection: until, BYE
 
-    def usable(self) -> HubConnection | None:
-        """A connection for a new set-up: nothing queued, no half message read, not known to be silent."""
-        ready = [c for c in self.conns if c.clear and not c.suspect and not len(c.buffer)]
+    def usable(self, call: Call | None = None) -> HubConnection | None:
+        """A connection for a new set-up: nothing queued, no half message read, not known to be silent.
+
+        A call that goes to the same hub again takes one that has not carried it: hubs answer every INVITE of
+        a call as CSeq 1, so only the connection tells its answers apart.
+        """
+        ready = [c for c in self.conns if c.clear and not c.suspect and not len(c.buffer)
+                 and (call is None or c not in call.marks)]
         return min(ready, key=lambda c: len(c.setups)) if ready else None
 
 
@@ -177,6 +182,7 @@
             return None
         finally:
             hub.connecting -= 1
+            hub.came.set()
         hub.heard_us = now_us()
         try:
             conn = HubConnection(sock, hub.name.decode(), self.deadlines)
@@ -216,7 +222,7 @@
         hub = self.hubs.get(attempt.hub)
         if hub is None:
             attempt.end(Outcome(End.NOT_SENT))
-        elif (conn := hub.usable()) is not None:
+        elif (conn := hub.usable(attempt.call)) is not None:
             self._send(conn, attempt)
         else:
             gevent.spawn(self._connect_and_send, hub, attempt)
@@ -225,7 +231,7 @@
         if len(hub.conns) + hub.connecting >= MOST:
             silent = [c for c in hub.conns if c.suspect and not c.setups]
             if not silent:
-                attempt.end(Outcome(End.UNREACHABLE))
+                self._send_on_other(hub, attempt)
                 return
             silent[0].close()
         conn = self._connect(hub)
@@ -235,6 +241,18 @@
         elif not attempt.over:
             self._send(conn, attempt)
 
+    def _send_on_other(self, hub: Hub, attempt: Attempt) -> None:
+        """Take what others have opened by then; no further connection is allowed."""
+        while hub.connecting and hub.usable(attempt.call) is None and not attempt.over:
+            hub.came.clear()
+            hub.came.wait(self.connect_timeout_s)
+        if attempt.over:
+            return
+        if (conn := hub.usable(attempt.call)) is not None:
+            self._send(conn, attempt)
+        else:
+            attempt.end(Outcome(End.NOT_SENT if hub.usable() else End.UNREACHABLE))
+
     def _send(self, conn: HubConnection, attempt: Attempt) -> None:
         if not attempt.may_send(attempt.hub):
             # Guards rule 3: the list may have changed while a connection was awaited.
@@ -320,5 +338,8 @@
         note = NOTES.get(message.headers.get("x-note", ""), Note.NONE)
         outcome = Outcome(ENDS.get(message.status, End.ERROR), note, load, at_us=now_us())
         conn.bury((ref, cseq))
+        if outcome.end is End.ERROR:
+            log.info("set-up ended in error: hub=%s ref=%s status=%d note=%s", conn.peer, ref, message.status,
+                     message.headers.get("x-note", ""))
         if (attempt is None or not attempt.end(outcome)) and load:
             self.facade.group(hub.name, load)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -4,6 +4,7 @@
 
 import random
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -718,3 +719,20 @@
     rig = Rig(retry_after=allowed, max_retry_after_us=2 * SECOND)
     (refused,) = only(rig.offer(9, in_transit=transit), api.Refuse)
     assert refused.retry_after_us == advice
+
+
+@pytest.mark.parametrize(
+    ("changes", "ended", "sent"),
+    [({}, {}, 4), ({"effect": api.Effect.GUARDED}, {}, 1), ({}, {"cause": Cause.LINES_ENGAGED}, 1),
+     ({"aim_us": 150_000}, {}, 2)],  # the third would come after the aim
+)
+def test_a_harmless_call_that_ends_in_error_is_sent_again_at_once(
+        changes: dict[str, Any], ended: dict[str, Any], sent: int) -> None:
+    """Three more times, to the same exchange; errors may be a share of all only."""
+    rig = Rig(classes=[api.ClassOfCall(**{"aim_us": SECOND, "deadline_us": 9 * SECOND} | changes)])
+    actions, made = rig.offer(1), 0
+    while only(actions, api.SetUp):
+        assert only(actions, api.SetUp)[0].exchange == xid(1)
+        rig.now += 60_000
+        actions, made = rig.end(Outcome.ERROR, attempt=made, **ended), made + 1
+    assert made == sent and len(only(actions, api.Fail)) == 1
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -181,6 +181,21 @@
         other(direct, "ACK")
 
 
+def test_a_call_that_ends_in_error_is_sent_again_over_another_connection(tmp_path: Path) -> None:
+    """Hubs answer every INVITE of a call as CSeq 1: on one connection two attempts can't be told apart."""
+    hub = Hub("h1", 1, silent)
+    with world(tmp_path, hub) as made:
+        caller = made.caller()
+        caller.new(REF)
+        first = invite(hub)
+        first.answer(500)
+        second = invite(hub)
+        assert second.sock is not first.sock and second.headers["CSeq"] == "1 INVITE"
+        first.answer(500)  # a second copy is not the answer of the second attempt
+        second.answer(200, BODY)
+        caller.hear("up", REF)
+
+
 def test_a_timed_out_attempt_is_cancelled_and_its_late_answer_undone(tmp_path: Path) -> None:
     hub = Hub("h1", 1, silent)
     with world(tmp_path, hub) as made:
