Repeat only where errors are frequent, and let only a standing call overtake

Ruled out: the burst limit (no change). At fault: brain._repeats repeated lone errors too; brain._ended let a refusal, which does not wait in line, show that those before it had been lost, and network jitter counted as overtaking. Changed: repeats after two errors lately; only a call that stands and was sent half a wait bound later overtakes.

--- a/barleywheel/brain.py
+++ b/barleywheel/brain.py
@@ -38,7 +38,9 @@
 REPEATS = 10  # after so many periods a report is told again though nothing in it changed
 TOLD_STEP, TOLD_FADE = 0.2, 1.03  # change of our told fraction told at once; rise of a told one an epoch
 OWN_FAULT = 3  # exchanges that fail at once, and none whose calls stand: our own processor's fault
+OVERTAKE_SHARE = 0.5  # of the wait bound: how much earlier a set-up was sent that was surely overtaken
 ERROR_REPEATS = 3  # further attempts of a call whose last one ended in error: a hub has four connections
+ERRORS_MANY, ERROR_FADE = 2.0, 0.5  # errors lately that make repeats worth their work; what an epoch leaves
 BURST, BURST_LEAST = 2.0, 4.0  # set-ups out that are a burst: times what leaves in the wait bound; at least
 MARGIN_TICKS = 2  # batches between our last moment for an answer and the caller's
 
@@ -61,13 +63,14 @@
         self.open = False  # circuit breaker
         self.waiting: dict[int, int] = {}  # direct set-ups out: call -> sent when
         self.sends: deque[int] = deque()  # sends within the last cold window
-        self.passed_us = -1  # when the last answered of the direct set-ups was sent
+        self.erred = 0.0  # errors lately, fading
+        self.passed_us = -1  # when the last of the direct set-ups that stood was sent
 
     def queued(self) -> list[int]:
         """When the direct set-ups were sent that may stand in line there.
 
-        A processor has one line: what is out while a later one has been answered was lost, and its silence
-        tells nothing of load. Guards f against lost answers; harmful only if set-ups overtake one another.
+        A processor has one line: what is out while a later one stands was lost, and its silence tells nothing
+        of load; a refusal does not wait in line. Guards f against lost answers; harmful if set-ups overtake.
         """
         return [sent_us for sent_us in self.waiting.values() if sent_us >= self.passed_us]
 
@@ -217,7 +220,7 @@
         if exchange.entry.cell != call.offer.destination:
             exchange.weight = min(1.0, exchange.weight + WEIGHT_UP)
             return
-        exchange.passed_us = max(exchange.passed_us, call.sent_us)
+        exchange.passed_us = max(exchange.passed_us, call.sent_us - int(OVERTAKE_SHARE * self.wait_us))
         took = float(max(event.elapsed_us, 1))
         self.least = min(self.least or took, took)
         self.low = min(self.low or took, took)
@@ -241,10 +244,10 @@
             return
         if outcome is not Outcome.NOT_SENT:
             exchange.ended += 1
+            exchange.erred += outcome is Outcome.ERROR and event.cause is Cause.NONE
             exchange.failed += full or outcome is Outcome.TIMEOUT and call.sent_us >= exchange.passed_us
             if outcome in (Outcome.REJECTED, Outcome.ERROR):
                 exchange.heard_us, exchange.open = self.now, False
-                exchange.passed_us = max(exchange.passed_us, call.sent_us if direct else -1)
             elif outcome is Outcome.UNREACHABLE:
                 exchange.open, exchange.down_us = True, self.now
                 exchange.was, exchange.most = max(exchange.was, exchange.most), 0.0
@@ -269,10 +272,12 @@
         """Whether a call that ended in error goes out once more, at once: errors may be a share of all only.
 
         Guards calls towards an exchange that fails quickly and often; harmful if an error costs it as much as
-        a call, so not while it or we are pressed. Only where a repeat is harmless and can still be in time.
+        a call, so not while it or we are pressed, nor for a lone error. Only where a repeat is harmless and
+        can still be in time.
         """
         took = self.now - call.sent_us
-        return (call.kind.effect is api.Effect.FREE and cause is Cause.NONE and not call.offer.in_transit
+        return (exchange.erred >= ERRORS_MANY and cause is Cause.NONE
+                and call.kind.effect is api.Effect.FREE and not call.offer.in_transit
                 and exchange.entry.cell == call.offer.destination and call.attempts <= ERROR_REPEATS
                 and self.now + took < call.taken_us + call.kind.aim_us and self._unpressed(exchange)
                 and self.f >= PRESSED)
@@ -421,6 +426,7 @@
             exchange.delay *= FAR_FADE
             exchange.told = min(1.0, exchange.told * TOLD_FADE)
             exchange.most *= MOST_FADE
+            exchange.erred *= ERROR_FADE
             exchange.ended = exchange.failed = 0
         self.f = self._step(self.f, 1.0 - self.least / self.delay if self.delays >= DELAYS_NEEDED else 0.0)
         # What we tell: the rule on our own processor, which every set-up from here passes. Its wait is in the
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -730,6 +730,8 @@
         changes: dict[str, Any], ended: dict[str, Any], sent: int) -> None:
     """Three more times, to the same exchange; errors may be a share of all only."""
     rig = Rig(classes=[api.ClassOfCall(**{"aim_us": SECOND, "deadline_us": 9 * SECOND} | changes)])
+    rig.offer(1)
+    assert only(rig.end(Outcome.ERROR), api.Fail)  # a lone error is not worth the work
     actions, made = rig.offer(1), 0
     while only(actions, api.SetUp):
         assert only(actions, api.SetUp)[0].exchange == xid(1)
