Keep connections with standing calls, and tell releases to proven callers only

At fault: fronts/platform._make_room took the longest quiet one whatever stood on it; release() took any open connection, and the accept loop gave waiting releases to whoever came. Changed: silent ones go first, then those that sent nothing of use, those with standing calls last; releases go where the call came from, else to connections whose calls stood, else to those that sent something usable.

--- a/barleywheel/fronts/platform.py
+++ b/barleywheel/fronts/platform.py
@@ -34,6 +34,8 @@
         self.front, self.conn = front, conn
         self.refs: set[str] = set()  # set-ups open on it
         self.asked = False  # a whole message has come on it
+        self.trust = 0  # 1: it has sent what can be used; 2: a call of it stood
+        self.standing = 0  # calls that it has been told to stand, and not yet told to be over
 
     def answer(self, request: Request, description: bytes) -> bool:
         """Tell that the call stands."""
@@ -42,6 +44,7 @@
             self.reject(request, Rejection(CAUSE_CUT))
             return False
         self.refs.discard(request.ref)
+        self.trust, self.standing = 2, self.standing + 1
         return self.conn.write(data)
 
     def reject(self, request: Request, rejection: Rejection) -> None:
@@ -53,6 +56,7 @@
 
     def release(self, ref: str, cause: int) -> None:
         """Tell that a call that stood is over."""
+        self.standing -= 1
         self.front.release(ref, cause, self.conn)
 
 
@@ -98,9 +102,13 @@
             caller = Caller(self, conn)
             self.callers[caller] = None
             gevent.spawn(self._serve, caller)
-            for ref, cause in self.waiting.items():
-                caller.conn.write(jsonlines.encode("down", ref, cause=cause))
-            self.waiting.clear()
+
+    def _trust(self, caller: Caller) -> None:
+        """It has sent what can be used: releases that found nobody go there."""
+        caller.trust = max(caller.trust, 1)
+        for ref, cause in self.waiting.items():
+            caller.conn.write(jsonlines.encode("down", ref, cause=cause))
+        self.waiting.clear()
 
     def close(self) -> None:
         """Take no further connections."""
@@ -113,7 +121,9 @@
         quiet = [caller for caller in self.callers if not caller.refs and caller.conn.clear]
         if not quiet:
             return False
-        caller = next((caller for caller in quiet if not caller.asked), quiet[0])
+        # The silent go first, then those that sent nothing of use; last those whose calls stand, as they are
+        # told on it: the rest may go to a peer that is no caller.
+        caller = min(quiet, key=lambda caller: (caller.asked, caller.trust, caller.standing > 0))
         log.info("connection closed to make room: peer=%s asked=%s", caller.conn.peer, caller.asked)
         del self.callers[caller]
         caller.conn.close()
@@ -140,6 +150,7 @@
     def _heard(self, caller: Caller, message: dict[str, Any]) -> None:
         kind, ref = message["t"], message.get("ref", "")
         if kind == "hb":
+            self._trust(caller)
             caller.conn.write(jsonlines.encode("hb_ok", ref, cause=0 if self.leaving else 1))
             return
         if not REF.match(ref):
@@ -150,6 +161,7 @@
                 request.left_us = -1
             if ref not in self.life.open:
                 caller.refs.add(ref)
+                self._trust(caller)
             self.life.take(request)
         elif kind == "down":
             self._down(caller, ref, message.get("c"))
@@ -161,6 +173,9 @@
             caller.refs.discard(ref)
             return
         number = cause if isinstance(cause, int) and 0 < cause < 128 else CAUSE_NORMAL
+        leg = self.life.standing.legs.get(ref)
+        if leg is not None and isinstance(leg.origin, Caller):
+            leg.origin.standing -= 1
         if self.life.standing.by_caller(ref, number):
             caller.conn.write(jsonlines.encode("ack", ref))
         elif ref not in self.life.standing.ended:
@@ -171,8 +186,12 @@
         """Tell a release where the call came from, else on any connection, else on the next."""
         data = jsonlines.encode("down", ref, cause=cause)
         conns = [conn] if conn is not None else []
-        # Those that spoke last come first: a caller that asked once and stayed may have left unnoticed.
-        if not any(c.write(data) for c in conns + [caller.conn for caller in reversed(self.callers)]):
+        host = conn.peer.partition(":")[0] if conn is not None else ""
+        # Guards releases against peers that are no callers, and against those that left unnoticed: those
+        # whose calls stood first, the same machine among them, then those that spoke last.
+        others = sorted((caller for caller in reversed(self.callers) if caller.trust),
+                        key=lambda caller: (-caller.trust, not caller.conn.peer.startswith(host + ":")))
+        if not any(c.write(data) for c in conns + [caller.conn for caller in others]):
             self.waiting[ref] = cause
             self.deadlines.at(now_us() + RELEASE_KEPT_US, lambda: self.waiting.pop(ref, None))
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -74,6 +74,22 @@
         assert stay[0].closed.wait(PATIENCE) and not stay[-2].closed.is_set()
 
 
+def test_connections_with_standing_calls_are_closed_last(tmp_path: Path) -> None:
+    """Their callers are told on them; whoever else is connected may be no caller."""
+    hub = Hub("h1", 1, stands)
+    with world(tmp_path, hub, sockets=48) as made:
+        caller = made.caller()
+        caller.new(REF)
+        caller.hear("up", REF)
+        for _ in range(30):
+            stay = made.caller()
+            stay.send("hb", "1", c=0)
+            stay.hear("hb_ok", "1")
+        made.wait_for(lambda: made.logged().count("make room") >= 6)
+        hub.bye(REF, 16)
+        assert caller.hear("down", REF)["c"] == 16
+
+
 @pytest.mark.parametrize("start", [b"", b'{"t":"new","ref":"9b'])
 def test_a_connection_without_a_whole_message_is_closed(tmp_path: Path, start: bytes) -> None:
     hub = Hub("h1", 1, stands)
@@ -399,7 +415,27 @@
         made.start()
         hub.bye(REF, 16)
         other(hub, "SIP/2.0")  # heard; nobody is there to be told yet
-        assert made.caller().hear("down", REF)["c"] == 16
+        stranger, caller = made.caller(), made.caller()
+        caller.send("hb", "1", c=0)
+        assert caller.hear("down", REF)["c"] == 16
+        assert not stranger.heard  # it has said nothing, so it may be no caller
+
+
+def test_a_release_goes_to_a_caller_and_not_to_whoever_has_connected(tmp_path: Path) -> None:
+    hub = Hub("h1", 1, stands)
+    with world(tmp_path, hub) as made:
+        first, working = made.caller(), made.caller()
+        working.new(OTHER)
+        working.hear("up", OTHER)
+        first.new(REF)
+        first.hear("up", REF)
+        first.sock.shutdown(socket.SHUT_RDWR)
+        strangers = [made.caller() for _ in range(5)]
+        for stranger in strangers:
+            stranger.send("down", REF[:-1] + "0", c=16)
+            stranger.hear("ack", REF[:-1] + "0")
+        hub.bye(REF, 16)
+        assert working.hear("down", REF)["c"] == 16
 
 
 @pytest.mark.parametrize(
