Close no connection with unread bytes, and leave only when callers are hung up on

Set-ups come on open connections for as long as these stay open. Ruled out: the accept backlog (0 or 1 connection in it when the listener closes) and every other way in which a connection ends (none had unread bytes).

--- a/barleywheel/__main__.py
+++ b/barleywheel/__main__.py
@@ -90,7 +90,8 @@
         until = now_us() + int(self.leave_s * 1e6)
         gevent.sleep(min(ACCEPT_S, self.leave_s))
         self.front.close()
-        while (self.life.open or not self.front.idle()) and now_us() < until:
+        # Guards set-ups that still come on open connections: one taken as we went was never answered.
+        while (not self.front.hang_up() or self.life.open) and now_us() < until:
             gevent.sleep(0.02)
         for call in list(self.life.open.values()):
             call.close(Rejection(CAUSE_CUT))
--- a/barleywheel/fronts/platform.py
+++ b/barleywheel/fronts/platform.py
@@ -102,6 +102,8 @@
             caller = Caller(self, conn)
             self.callers[caller] = None
             gevent.spawn(self._serve, caller)
+            if len(self.callers) >= self.most:
+                gevent.sleep(0)  # a closed socket's descriptor comes free only when its reader has had a turn
 
     def _trust(self, caller: Caller) -> None:
         """It has sent what can be used: releases that found nobody go there."""
@@ -116,23 +118,33 @@
         if self._listener is not None:
             self._listener.close()
 
+    def hang_up(self) -> bool:
+        """Close every connection on which nothing is open or unread; True when none is left."""
+        for caller in self._quiet():
+            if not caller.conn.unread():
+                caller.conn.close()
+        return not any(caller.conn.open for caller in self.callers)
+
+    def _quiet(self) -> list[Caller]:
+        """Connections on which no set-up is open and nothing waits to be written or made whole."""
+        return [caller for caller in self.callers
+                if not caller.refs and caller.conn.clear and not len(caller.conn.buffer)]
+
     def _make_room(self) -> bool:
         """Close a connection on which nothing is open: one that never asked, else the one longest quiet."""
-        quiet = [caller for caller in self.callers if not caller.refs and caller.conn.clear]
-        if not quiet:
-            return False
+        quiet = self._quiet()
         # The silent go first, then those that sent nothing of use; last those whose calls stand, as they are
         # told on it: the rest may go to a peer that is no caller.
-        caller = min(quiet, key=lambda caller: (caller.asked, caller.trust, caller.standing > 0))
+        quiet.sort(key=lambda caller: (caller.asked, caller.trust, caller.standing > 0))
+        # Guards set-ups that have come and wait for their reader's turn: a close would lose them.
+        caller = next((caller for caller in quiet if not caller.conn.unread()), None)
+        if caller is None:
+            return False
         log.info("connection closed to make room: peer=%s asked=%s", caller.conn.peer, caller.asked)
         del self.callers[caller]
         caller.conn.close()
         return True
 
-    def idle(self) -> bool:
-        """Whether nothing waits to be written."""
-        return not self.waiting and all(caller.conn.clear or not caller.conn.open for caller in self.callers)
-
     def _serve(self, caller: Caller) -> None:
         for message in caller.conn.messages(jsonlines.cut):
             caller.asked = True
--- a/barleywheel/net/connection.py
+++ b/barleywheel/net/connection.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import logging
+import sys
+import termios
 from collections.abc import Callable, Iterator
 from typing import TypeVar
 
@@ -49,6 +52,13 @@
         """Whether a byte written now leaves now."""
         return self.open and not self._queue
 
+    def unread(self) -> int:
+        """Bytes that have come and that nobody has read yet."""
+        if not self.open:
+            return 0
+        count = fcntl.ioctl(self.sock.fileno(), termios.FIONREAD, bytes(4))
+        return int.from_bytes(count, sys.byteorder)
+
     def write(self, data: bytes) -> bool:
         """Send, or queue what the socket does not take now; False if the connection is closed."""
         if not self.open:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -90,6 +90,38 @@
         assert caller.hear("down", REF)["c"] == 16
 
 
+def test_no_connection_with_unread_bytes_is_closed_to_make_room(tmp_path: Path) -> None:
+    """What was just accepted may hold a set-up that its reader has had no turn for."""
+    hub = Hub("h1", 1, stands)
+    with world(tmp_path, hub, sockets=48) as made:
+        made.process.send_signal(signal.SIGSTOP)  # so that connections and set-ups come in one turn
+        callers = [made.caller() for _ in range(40)]
+        for at, caller in enumerate(callers[:12]):
+            caller.new(f"{at:016x}")
+        made.process.send_signal(signal.SIGCONT)
+        for at, caller in enumerate(callers[:12]):
+            assert caller.heard.take(lambda m: m["ref"] == f"{at:016x}")["t"] in ("up", "down")  # noqa: B023
+        assert "make room" in made.logged()
+
+
+def test_leaving_hangs_up_on_quiet_callers_and_answers_the_others(tmp_path: Path) -> None:
+    """A set-up on a connection left open is taken as the process goes, and never answered."""
+    hub = Hub("h1", 1, silent)
+    with world(tmp_path, hub) as made:
+        quiet, busy = made.caller(), made.caller()
+        quiet.send("hb", "1", c=0)
+        quiet.hear("hb_ok", "1")
+        busy.new(REF)
+        sent = invite(hub)
+        made.process.send_signal(signal.SIGTERM)
+        assert quiet.closed.wait(PATIENCE) and not busy.closed.is_set()
+        sent.answer(200, BODY)
+        assert busy.heard.take(lambda m: m["ref"] == REF)["t"] in ("up", "down")  # its aim may be over
+        assert busy.closed.wait(PATIENCE)
+        assert made.process.wait(PATIENCE) == 0
+        made.process.poll = lambda: None  # type: ignore[method-assign]
+
+
 @pytest.mark.parametrize("start", [b"", b'{"t":"new","ref":"9b'])
 def test_a_connection_without_a_whole_message_is_closed(tmp_path: Path, start: bytes) -> None:
     hub = Hub("h1", 1, stands)
