--- a/Makefile
+++ b/Makefile
@@ -7,9 +7,9 @@
 build:
 	sh -c "$$(python3 -c 'import tomllib; print(tomllib.load(open("deploy/balancer.toml", "rb"))["build"])')"
 
-# The tools for test and lint, in the same environment.
+# The tools of the command line and those for test and lint, in the same environment.
 dev: build
-	.venv/bin/python -c 'import tomllib; print(*tomllib.load(open("pyproject.toml", "rb"))["project"]["optional-dependencies"]["dev"])' | xargs .venv/bin/pip -q install
+	.venv/bin/python -c 'import tomllib; x = tomllib.load(open("pyproject.toml", "rb"))["project"]["optional-dependencies"]; print(*x["dev"], *x["tools"])' | xargs .venv/bin/pip -q install
 
 test:
 	$(PYTHON) -m pytest
--- a/barleywheel/__main__.py
+++ b/barleywheel/__main__.py
@@ -1,4 +1,4 @@
-"""One real call router: start, serve, and leave at SIGTERM."""
+"""One real call router as a process: start, serve, and leave at SIGTERM."""
 
 from __future__ import annotations
 
@@ -8,94 +8,12 @@
 import sys
 
 import gevent
-from gevent.event import Event
 
 from barleywheel import config
-from barleywheel.core.deadlines import Deadlines
-from barleywheel.core.life import Life
-from barleywheel.core.model import CAUSE_CUT, Rejection, now_us
-from barleywheel.core.release import Standing
-from barleywheel.facade import Facade
-from barleywheel.fronts.m3ua import M3uaFront
-from barleywheel.fronts.platform import PlatformFront
-from barleywheel.net.hubs import HubPool
-from barleywheel.net.journal import Journal
+from barleywheel.router import Router
 
 log = logging.getLogger("barleywheel")
-ACCEPT_S = 0.9  # how long after SIGTERM new set-ups may still come
-LONGEST_S = 3.0  # SIGKILL may follow 0.7 s after the longest deadline, which counts as no more than this
-LEAVE_S = 0.4  # what is left this long after that deadline is failed at once: the answers need time to go
-
-
-class Router:
-    """The parts of one call router, put together."""
-
-    def __init__(self, conf: config.Config, extras: config.Extras) -> None:
-        self.deadlines = Deadlines()
-        self.facade = Facade(conf.settings, conf.names, conf.seed, self.deadlines)
-        self.standing = Standing(self.deadlines)
-        self.life = Life(self.facade, self.deadlines, self.standing)
-        self.hubs = HubPool(self.life, self.facade, self.deadlines, conf.connect_timeout_us)
-        self.life.default = self.hubs
-        self.front = PlatformFront(self.life, self.deadlines, conf.sockets // 2)
-        self.standing.stranger_to = self.front
-        self.journal = Journal(conf.journal, self.facade, self.hubs)
-        self.stop, self.reload = Event(), Event()
-        self.leave_s = min(LONGEST_S, max(c.deadline_us for c in conf.settings.classes) / 1e6) + LEAVE_S
-        self.snmp = extras.snmp
-        self.m3ua: M3uaFront | None = None
-        if extras.m3ua is not None:
-            self.m3ua = M3uaFront(extras.m3ua, self.life, self.facade, self.deadlines)
-
-    def start(self, conf: config.Config) -> None:
-        """Listen and begin to serve."""
-        gevent.signal_handler(signal.SIGHUP, self.reload.set)  # before anything else: it must never end us
-        gevent.signal_handler(signal.SIGTERM, self.stop.set)
-        gevent.signal_handler(signal.SIGINT, self.stop.set)
-        try:
-            self.journal.apply(conf.known)
-            self.front.listen(conf.listen)
-            if self.m3ua is not None:
-                self.m3ua.listen()
-                gevent.spawn(self.m3ua.run).link_exception(self._broken)
-            if self.snmp is not None:
-                from barleywheel.snmp.agent import Agent  # only here: it loads a library of its own
-
-                agent = Agent(self, self.snmp.listen, self.snmp.community)
-                gevent.spawn(agent.run).link_exception(self._broken)
-        except (KeyError, ValueError, TypeError, OSError) as error:
-            raise config.ConfigError(f"can't start: {type(error).__name__}: {error}") from error
-        for part in (self.deadlines.run, self.journal.run, self.front.run, self._reload):
-            gevent.spawn(part).link_exception(self._broken)
-
-    def _reload(self) -> None:
-        """Read the configuration again whenever SIGHUP asks for it, and follow a journal that moved."""
-        while True:
-            self.reload.wait()
-            self.reload.clear()
-            try:
-                conf = config.load()
-            except config.ConfigError as error:
-                log.warning("configuration not reloaded, the old one stays: %s", error)
-                continue
-            log.info("configuration reloaded: journal=%s", conf.journal)
-            self.journal.move(conf.journal)
-
-    def _broken(self, greenlet: object) -> None:
-        log.critical("a part of the router ended: %s", greenlet)
-
-    def leave(self) -> None:
-        """Finish what is taken: callers may still send for a while."""
-        self.front.leaving = True
-        until = now_us() + int(self.leave_s * 1e6)
-        gevent.sleep(min(ACCEPT_S, self.leave_s))
-        self.front.close()
-        # Guards set-ups that still come on open connections: one taken as we went was never answered.
-        while (not self.front.hang_up() or self.life.open) and now_us() < until:
-            gevent.sleep(0.02)
-        for call in list(self.life.open.values()):
-            call.close(Rejection(CAUSE_CUT))
-        gevent.sleep(0.05)
+COMMANDS = {"fuzz"}  # the tools; anything else on the command line starts the router
 
 
 def arguments() -> argparse.Namespace:
@@ -106,11 +24,27 @@
 
 
 def main() -> int:
-    """Run until told to stop."""
+    """Start what the command line asks for."""
+    if sys.argv[1:] and sys.argv[1] in COMMANDS:
+        try:
+            from barleywheel.cli import app  # only here: it loads libraries that the router does without
+        except ImportError as error:
+            print(f"barleywheel: the tools are not installed ({error}); pip install 'barleywheel[tools]'",
+                  file=sys.stderr)
+            return 2
+        app()
+    return serve()
+
+
+def serve() -> int:
+    """Route calls until told to stop."""
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     try:
         conf, extras = config.load(), config.extras(arguments().extras)
         router = Router(conf, extras)
+        gevent.signal_handler(signal.SIGHUP, router.reload.set)  # before the start: it must never end us
+        gevent.signal_handler(signal.SIGTERM, router.stop.set)
+        gevent.signal_handler(signal.SIGINT, router.stop.set)
         router.start(conf)
     except config.ConfigError as error:
         print(f"barleywheel: {error}", file=sys.stderr)
--- a/barleywheel/config.py
+++ b/barleywheel/config.py
@@ -48,8 +48,16 @@
         raise ConfigError("LB_CONFIG is not set")
     try:
         with open(path, "rb") as file:
-            raw = json.load(file)
-    except (OSError, ValueError) as error:
+            return parse(file.read(), path, environ)
+    except OSError as error:
+        raise ConfigError(f"{path}: {error}") from error
+
+
+def parse(data: bytes, path: str, environ: dict[str, str] | os._Environ[str]) -> Config:
+    """Read a configuration's bytes; ConfigError, which names the path, where they can't be used."""
+    try:
+        raw = json.loads(data)
+    except ValueError as error:
         raise ConfigError(f"{path}: {error}") from error
     if not isinstance(raw, dict) or not isinstance(raw.get("settings"), dict):
         raise ConfigError(f"{path}: no settings")
@@ -136,12 +144,20 @@
         return Extras()
     try:
         with open(path, "rb") as file:
-            raw = tomllib.load(file)
+            return parse_extras(file.read(), path)
+    except OSError as error:
+        raise ConfigError(f"{path}: {error}") from error
+
+
+def parse_extras(data: bytes, path: str) -> Extras:
+    """Read an operator's file's bytes; ConfigError, which names the path, where they can't be used."""
+    try:
+        raw = tomllib.loads(data.decode())
         return Extras(_m3ua(raw["m3ua"]) if "m3ua" in raw else None,
                       _snmp(raw["snmp"]) if "snmp" in raw else None)
     except KeyError as error:
         raise ConfigError(f"{path}: {error} is missing") from error
-    except (OSError, ValueError, TypeError, AttributeError) as error:
+    except (ValueError, TypeError, AttributeError) as error:
         raise ConfigError(f"{path}: {error}") from error
 
 
--- a/barleywheel/core/deadlines.py
+++ b/barleywheel/core/deadlines.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from gevent.event import Event
 from sortedcontainers import SortedList
 
-from barleywheel.core.model import now_us
+from barleywheel.core import runtime
+from barleywheel.core.runtime import now_us
 
 log = logging.getLogger(__name__)
 Handle = tuple[int, int, Callable[[], Any]]
@@ -21,7 +21,7 @@
     def __init__(self) -> None:
         self._due: SortedList = SortedList()  # the running number keeps actions from being compared
         self._number = 0
-        self._wake = Event()
+        self._wake = runtime.event()
 
     def at(self, due_us: int, action: Callable[[], Any]) -> Handle:
         """Run the action at the given time."""
--- a/barleywheel/core/life.py
+++ b/barleywheel/core/life.py
@@ -5,8 +5,7 @@
 import logging
 from collections import Counter
 
-import gevent
-
+from barleywheel.core import runtime
 from barleywheel.core.deadlines import Deadlines
 from barleywheel.core.model import (
     CAUSE_BAD_CALL,
@@ -21,9 +20,9 @@
     Rejection,
     Request,
     Send,
-    now_us,
 )
 from barleywheel.core.release import Standing
+from barleywheel.core.runtime import now_us
 from barleywheel.facade import Facade
 
 log = logging.getLogger(__name__)
@@ -55,7 +54,7 @@
             return
         self._number = self._number % 0xFFFFFFFF + 1
         call = self.open[request.ref] = Call(request, self._number)
-        gevent.spawn(self._serve, call)
+        runtime.spawn(self._serve, call)
 
     def _fault(self, request: Request) -> str:
         if request.ref in self.open or request.ref in self.standing.legs:
@@ -101,7 +100,7 @@
         while isinstance(decision, Send):
             if now_us() < call.guard_us:
                 # Guards rule 5 should the module ever send again too soon after a broken attempt.
-                gevent.sleep((call.guard_us - now_us()) / 1e6)
+                runtime.sleep((call.guard_us - now_us()) / 1e6)
             attempt = call.attempt = Attempt(call, decision.hub, decision.limit_us, self.facade.ready)
             call.attempts += 1
             carrier = self._carrier(decision.hub)
--- a/barleywheel/core/model.py
+++ b/barleywheel/core/model.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
 
-from gevent.event import Event
+from barleywheel.core import runtime
+from barleywheel.core.runtime import now_us
 
 CAUSE_NORMAL = 16
 CAUSE_NO_CIRCUIT = 34
@@ -18,11 +18,6 @@
 CAUSE_EXPIRED = 102
 
 
-def now_us() -> int:
-    """The system's Unix clock in microseconds: the only clock there is here."""
-    return time.time_ns() // 1000
-
-
 class End(Enum):
     """How an attempt ended."""
 
@@ -162,7 +157,7 @@
         self.started_us = self.sent_us = now_us()
         self.slot: object = None  # the carrier's own
         self.outcome: Outcome | None = None
-        self._ended = Event()
+        self._ended = runtime.event()
 
     @property
     def over(self) -> bool:
--- a/barleywheel/core/release.py
+++ b/barleywheel/core/release.py
@@ -5,7 +5,8 @@
 import logging
 
 from barleywheel.core.deadlines import Deadlines
-from barleywheel.core.model import CAUSE_CUT, Leg, Releases, now_us
+from barleywheel.core.model import CAUSE_CUT, Leg, Releases
+from barleywheel.core.runtime import now_us
 
 log = logging.getLogger(__name__)
 ENDED_KEPT_US = 30_000_000  # how long an ended call's id is remembered, so that a repeat is known as one
--- a/barleywheel/facade.py
+++ b/barleywheel/facade.py
@@ -25,8 +25,8 @@
     Outcome,
     Rejection,
     Send,
-    now_us,
 )
+from barleywheel.core.runtime import from_unix_us, now_us
 
 log = logging.getLogger(__name__)
 ENDS = {
@@ -170,6 +170,7 @@
 
     def _entry(self, endpoint: dict[str, Any]) -> api.Entry:
         states = {"Ready": api.State.READY, "Terminating": api.State.DRAINING, "Gone": api.State.GONE}
+        since_us = int(endpoint.get("since_ms") or 0) * 1000
         return api.Entry(
             exchange=str(endpoint["name"]).encode(),
             cell=int(endpoint.get("group", 0)),
@@ -177,7 +178,7 @@
             zone=self._names["zones"].get(str(endpoint.get("zone")), 0),
             share=float(endpoint.get("weight", 1.0)),
             kind=self._names["kinds"].get(str(endpoint.get("type")), 0),
-            launched_us=int(endpoint.get("since_ms") or 0) * 1000,
+            launched_us=from_unix_us(since_us) if since_us else 0,
         )
 
     # The module.
--- a/barleywheel/fronts/m3ua.py
+++ b/barleywheel/fronts/m3ua.py
@@ -8,16 +8,12 @@
 from __future__ import annotations
 
 import logging
-import os
 from dataclasses import dataclass, field
 from enum import Enum
 from functools import partial
 
-import gevent
-import gevent.socket
-
 from barleywheel.config import M3uaConfig, PeerConfig
-from barleywheel.core import causes
+from barleywheel.core import causes, runtime
 from barleywheel.core.deadlines import Deadlines, Handle
 from barleywheel.core.life import Life
 from barleywheel.core.model import (
@@ -29,9 +25,10 @@
     Outcome,
     Rejection,
     Request,
-    now_us,
 )
+from barleywheel.core.runtime import now_us
 from barleywheel.facade import Facade
+from barleywheel.net import sockets
 from barleywheel.net.connection import Connection
 from barleywheel.wire import isup, m3ua
 from barleywheel.wire.m3ua import Error, Kind, Tag
@@ -274,7 +271,7 @@
         self.peers = {peer.point_code: Peer(self, peer) for peer in conf.peers}
         self.origins = {code: Incoming(peer) for code, peer in self.peers.items()}
         self.links: set[Link] = set()
-        self._listener = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_STREAM)
+        self._listener: sockets.Listener | None = None
         self._categories = {item.category: name for name, item in conf.classes.items()}
         for peer in self.peers.values():
             if peer.conf.cell is not None:
@@ -287,30 +284,24 @@
 
     def listen(self) -> None:
         """Open the listening socket."""
-        host, _, port = self.conf.listen.rpartition(":")
-        self._listener.setsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_REUSEADDR, 1)
-        self._listener.bind((host, int(port)))
-        self._listener.listen(64)
+        self._listener = sockets.listen(self.conf.listen, 64)
 
     def run(self) -> None:
         """Accept for ever."""
+        assert self._listener is not None
         while True:
             try:
                 sock, address = self._listener.accept()
             except OSError as error:
                 log.warning("accept failed: %s", error)
-                gevent.sleep(0.05)
+                runtime.sleep(0.05)
                 continue
             if len(self.links) >= 2 * len(self.peers):
-                log.warning("connection closed, too many links: peer=%s:%d", *address[:2])
-                sock.close()
-                continue
-            try:
-                link = Link(sock, f"{address[0]}:{address[1]}", self.deadlines, self.conf.up_ms * 1000, False)
-            except OSError:  # reset before it was looked at
+                log.warning("connection closed, too many links: peer=%s:%d", *address)
                 sock.close()
                 continue
-            gevent.spawn(self._serve, link)
+            link = Link(sock, f"{address[0]}:{address[1]}", self.deadlines, self.conf.up_ms * 1000, False)
+            runtime.spawn(self._serve, link)
 
     # Links.
 
@@ -499,7 +490,7 @@
             return
         class_name = self._categories.get(heard.category, "")
         known = self.conf.classes.get(class_name)
-        ref = os.urandom(8).hex()
+        ref = runtime.token()
         circuit.state, circuit.ref = State.IN, ref
         peer.by_ref[ref] = circuit
         peer.tell()
--- a/barleywheel/fronts/platform.py
+++ b/barleywheel/fronts/platform.py
@@ -8,12 +8,12 @@
 from collections import OrderedDict
 from typing import Any
 
-import gevent
-import gevent.socket
-
+from barleywheel.core import runtime
 from barleywheel.core.deadlines import Deadlines
 from barleywheel.core.life import Life
-from barleywheel.core.model import CAUSE_CUT, CAUSE_NORMAL, Rejection, Request, now_us
+from barleywheel.core.model import CAUSE_CUT, CAUSE_NORMAL, Rejection, Request
+from barleywheel.core.runtime import now_us
+from barleywheel.net import sockets
 from barleywheel.net.connection import Connection
 from barleywheel.wire import Malformed, jsonlines, sip
 
@@ -68,15 +68,11 @@
         self.callers: OrderedDict[Caller, None] = OrderedDict()  # the one that spoke last comes last
         self.waiting: dict[str, int] = {}  # releases that no connection was open for
         self.leaving = self.closed = False
-        self._listener: gevent.socket.socket | None = None
+        self._listener: sockets.Listener | None = None
 
     def listen(self, address: str) -> None:
         """Open the listening socket."""
-        host, _, port = address.rpartition(":")
-        self._listener = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_STREAM)
-        self._listener.setsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_REUSEADDR, 1)
-        self._listener.bind((host, int(port)))
-        self._listener.listen(512)
+        self._listener = sockets.listen(address, 512)
 
     def run(self) -> None:
         """Accept until closed."""
@@ -88,22 +84,18 @@
                 if self.closed:
                     return
                 log.warning("accept failed: %s", error)  # out of descriptors: some come free in time
-                gevent.sleep(0.05)
+                runtime.sleep(0.05)
                 continue
             if len(self.callers) >= self.most and not self._make_room():
-                log.warning("connection closed, too many callers: peer=%s:%d", *address[:2])
-                sock.close()
-                continue
-            try:
-                conn = Connection(sock, f"{address[0]}:{address[1]}", self.deadlines, FIRST_US)
-            except OSError:  # reset before it was looked at
+                log.warning("connection closed, too many callers: peer=%s:%d", *address)
                 sock.close()
                 continue
+            conn = Connection(sock, f"{address[0]}:{address[1]}", self.deadlines, FIRST_US)
             caller = Caller(self, conn)
             self.callers[caller] = None
-            gevent.spawn(self._serve, caller)
+            runtime.spawn(self._serve, caller)
             if len(self.callers) >= self.most:
-                gevent.sleep(0)  # a closed socket's descriptor comes free only when its reader has had a turn
+                runtime.sleep(0)  # a closed one's descriptor comes free when its reader has had a turn
 
     def _trust(self, caller: Caller) -> None:
         """It has sent what can be used: releases that found nobody go there."""
--- /dev/null
+++ b/barleywheel/fuzz/codecs.py
@@ -0,0 +1,199 @@
+"""Bytes for the parsers, and what must hold of every one of them.
+
+A parser answers any bytes with a message, with "not whole yet", or with the one exception that it is allowed;
+how the bytes were split over reads makes no difference; what is encoded is decoded again; and the work is
+bounded by a multiple of the bytes.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Callable
+from typing import Any
+
+from barleywheel.fuzz.rules import Breach
+from barleywheel.net.buffer import Buffer
+from barleywheel.wire import Malformed, isup, jsonlines, m3ua, sip
+
+WORK = 64  # bytes looked at or copied for each byte that came, and so many more in all:
+WORK_FREE = 256 * 1024
+Cut = Callable[[Buffer], Any]
+
+
+class Metered(Buffer):
+    """A buffer that counts the bytes that its users look at or copy."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.work = 0
+
+    def put(self, data: bytes) -> None:
+        """What a socket would have read in."""
+        while data:
+            self.reserve()
+            room = len(self.data) - self.end
+            part, data = data[:room], data[room:]
+            self.data[self.end : self.end + len(part)] = part
+            self.end += len(part)
+
+    def find(self, mark: bytes) -> int:
+        """See ``Buffer``."""
+        before = self.start + self.searched(mark)
+        at = super().find(mark)
+        self.work += (self.end if at < 0 else self.start + at + len(mark)) - before
+        return at
+
+    def peek(self, count: int) -> bytes:
+        """See ``Buffer``."""
+        found = super().peek(count)
+        self.work += len(found)
+        return found
+
+
+def feed(cut: Cut, pieces: list[bytes]) -> tuple[list[str], str, int]:
+    """Messages as text, how it ended ("" or the fault), and the work."""
+    buffer, found = Metered(), []
+    for piece in pieces:
+        buffer.put(piece)
+        try:
+            while (message := cut(buffer)) is not None:
+                found.append(repr(message))
+        except Malformed:
+            return found, "Malformed", buffer.work
+        except Exception as error:
+            return found, f"{type(error).__name__}: {str(error)[:200]}", buffer.work
+    return found, "", buffer.work
+
+
+def split(data: bytes) -> list[bytes]:
+    """Pieces of a few bytes, by the bytes themselves: the same input always has the same split."""
+    pieces, at, seed = [], 0, zlib.crc32(data)
+    while at < len(data):
+        seed = seed * 1103515245 + 12345 & 0x7FFFFFFF
+        size = 1 + (seed >> 16) % 37
+        pieces.append(data[at : at + size])
+        at += size
+    return pieces
+
+
+def stream(cut: Cut, data: bytes) -> list[Breach]:
+    """What must hold of a parser of a stream."""
+    whole, fault, work = feed(cut, [data])
+    breaches = []
+    if fault not in ("", "Malformed"):
+        breaches.append(Breach("parser raised", fault))
+    for pieces in (split(data), [data[at : at + 1] for at in range(len(data))]):
+        other, other_fault, work = feed(cut, pieces)
+        if other != whole or other_fault != fault:
+            breaches.append(
+                Breach("depends on the split", f"{whole} {fault} whole, {other} {other_fault} split")
+            )
+            break
+        if work > WORK * len(data) + WORK_FREE:
+            breaches.append(Breach("work", f"{work} bytes looked at for {len(data)} in {len(pieces)} pieces"))
+            break
+    return breaches
+
+
+def check_jsonlines(data: bytes) -> list[Breach]:
+    """The callers' wire."""
+    breaches = stream(jsonlines.cut, data)
+    buffer = Metered()
+    body = data[:4000]
+    line = jsonlines.encode("up", "9b1f03aa00000001", description=body)
+    buffer.put(line)
+    try:
+        message = jsonlines.cut(buffer) if len(line) <= jsonlines.LIMIT else None
+    except Malformed as error:
+        return [*breaches, Breach("not decoded again", str(error))]
+    if message is not None and jsonlines.description(message) != body:
+        breaches.append(Breach("not decoded again", f"{jsonlines.description(message)!r} for {body!r}"))
+    buffer = Metered()
+    buffer.put(data)
+    try:
+        while (message := jsonlines.cut(buffer)) is not None:
+            breaches += _request(message)
+    except Malformed:
+        pass
+    except Exception as error:
+        breaches.append(Breach("request raised", f"{type(error).__name__}: {error}"))
+    return breaches
+
+
+def _request(message: dict[str, Any]) -> list[Breach]:
+    from barleywheel.fronts.platform import NUMBER, REF, read_request
+
+    if message["t"] != "new" or not REF.match(message.get("ref", "")):
+        return []
+    request = read_request(None, message)  # type: ignore[arg-type]
+    if request.destination >= 0 and request.left_us > 0:
+        data = sip.invite(request.ref, 1, request.number, "voice", 1, request.description)
+        if not NUMBER.match(request.number) or not 0 < request.width <= 64 or len(data) > sip.LIMIT:
+            return [Breach("request", repr(request)[:300])]
+    return []
+
+
+def check_sip(data: bytes) -> list[Breach]:
+    """The hubs' wire."""
+
+    def cut(buffer: Buffer) -> Any:
+        message = sip.cut(buffer)
+        if message is not None:
+            number, cause = message.cseq[0], message.cause
+            if not 0 <= number <= 0xFFFFFFFF or not 0 < cause < 128:
+                raise ArithmeticError(f"CSeq {number} or cause {cause}")
+            return message, message.load, sip.response(200, "OK", message)
+        return None
+
+    breaches = stream(cut, data)
+    buffer = Metered()
+    buffer.put(sip.invite("9b1f03aa00000001", 1, "7f3a", "voice", 1, data[:8000]))
+    again = sip.head(buffer.peek(buffer.find(b"\r\n\r\n")))
+    if again.headers["content-length"] != str(len(data[:8000])):
+        breaches.append(Breach("not decoded again", repr(again)))
+    return breaches
+
+
+def check_m3ua(data: bytes) -> list[Breach]:
+    """The exchanges' wire, and the ISUP in it."""
+
+    def cut(buffer: Buffer) -> Any:
+        message = m3ua.cut(buffer)
+        if message is None:
+            return None
+        transfer = m3ua.transferred(message)
+        inner: object = None
+        if transfer is not None:
+            try:
+                inner = isup.decode(transfer.user)
+            except isup.Unreadable:
+                inner = "unreadable"
+            again = Metered()
+            again.put(m3ua.data(transfer, 1)) if len(transfer.user) < 8000 else None
+            back = m3ua.cut(again)
+            if back is not None and m3ua.transferred(back) != transfer:
+                raise ArithmeticError(f"not decoded again: {transfer}")
+        return message, message.points(), [message.number(tag) for tag in m3ua.Tag], inner
+
+    return stream(cut, data)
+
+
+def check_isup(data: bytes) -> list[Breach]:
+    """One ISUP message."""
+    try:
+        message = isup.decode(data)
+    except isup.Unreadable:
+        return []
+    except Exception as error:
+        return [Breach("parser raised", f"{type(error).__name__}: {error}")]
+    try:
+        encoded = isup.encode(message)
+    except ValueError:  # what this wire has no room for
+        return []
+    try:
+        back = isup.decode(encoded)
+    except isup.Unreadable as error:
+        return [Breach("not decoded again", f"{message}: {error}")]
+    if message.type in tuple(isup.Type) and back != message:
+        return [Breach("not decoded again", f"{back} for {message}")]
+    return []
--- /dev/null
+++ b/barleywheel/fuzz/engine.py
@@ -0,0 +1,217 @@
+"""Engines: where inputs come from, and what is learnt from what they reached."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+from barleywheel.fuzz.corpus import Kept
+from barleywheel.fuzz.rules import Breach
+from barleywheel.fuzz.shrink import Input, shrink
+from barleywheel.fuzz.source import FromHypothesis, Seeded, pick
+from barleywheel.fuzz.targets import Target
+
+MOST_BYTES = 20_000
+MUTATE = 2  # every so many'th input is new; the others are kept ones, changed
+
+
+@dataclass(frozen=True)
+class Finding:
+    """A rule that an input breaks, the input made small."""
+
+    target: str
+    rule: str
+    seen: str
+    input: Input
+
+
+@dataclass
+class Reached:
+    """How many inputs, and what they reached."""
+
+    inputs: int = 0
+    seconds: float = 0.0
+    features: dict[str, int] = field(default_factory=dict)
+    kept: list[Kept] = field(default_factory=list)
+    findings: dict[str, Finding] = field(default_factory=dict)
+
+
+def features(reached: dict[str, int]) -> set[str]:
+    """What an input reached, counts by powers of two."""
+    return {f"{name} x{1 << (count.bit_length() - 1)}" for name, count in reached.items() if count > 0}
+
+
+class Fuzzing:
+    """One target under the seeded engine: new inputs, and changes of those that reached something new."""
+
+    def __init__(self, target: Target, seed: int, corpus: list[Kept]) -> None:
+        self.target, self.done = target, Reached()
+        self.source = Seeded(f"{target.name} {seed}")
+        self.first: list[Input] = [kept.input for kept in corpus] + list(target.seeds)
+        self.pool: list[Input] = list(self.first)
+
+    def next(self) -> Input:
+        """The next input: the corpus first."""
+        if self.first:
+            return self.first.pop(0)
+        if self.target.make is None:
+            return self._bytes()
+        if not self.pool or self.source.below(MUTATE) == 0:
+            return self.target.make(self.source)
+        return self._steps()
+
+    def _steps(self) -> Input:
+        """Some steps of one script, and of another; some of them twice, some gone."""
+        assert self.target.make is not None
+        source = self.source
+        pool = cast(list[list[Any]], self.pool)
+        old = list(pick(source, pool))
+        other = pick(source, pool) if source.below(2) else self.target.make(source)
+        for _ in range(1 + source.below(4)):
+            at = source.below(len(old) + 1)
+            match source.below(4):
+                case 0:
+                    del old[at : at + 1 + source.below(4)]
+                case 1:
+                    start = source.below(len(other) + 1)
+                    old[at:at] = other[start : start + 1 + source.below(6)]
+                case 2 if at < len(old):
+                    old.insert(source.below(len(old) + 1), old[at])
+                case _ if at < len(old) and len(old) > 1:
+                    to = source.below(len(old))
+                    old[at], old[to] = old[to], old[at]
+        return old[:80]
+
+    def _bytes(self) -> bytes:
+        source, words = self.source, self.target.words
+        pool = cast(list[bytes], self.pool)
+        data = bytearray(pick(source, pool))
+        for _ in range(1 + source.below(5)):
+            at = source.below(len(data) + 1)
+            match source.below(8):
+                case 0 if data:
+                    data[min(at, len(data) - 1)] = source.below(256)
+                case 1:
+                    del data[at : at + 1 + source.below(16)]
+                case 2 if words:
+                    data[at:at] = pick(source, words)
+                case 3 if words:
+                    word = pick(source, words)
+                    data[at : at + len(word)] = word
+                case 4:
+                    other = pick(source, pool)
+                    start = source.below(len(other) + 1)
+                    data[at:at] = other[start : start + source.below(200)]
+                case 5:
+                    data[at:at] = bytes([source.below(256)])
+                case 6 if words:  # a value in place of another: between two marks of a text
+                    end = at
+                    while end < len(data) and data[end] not in b",}]\r\n;":
+                        end += 1
+                    data[at:end] = pick(source, words)
+                case _ if data:
+                    data[min(at, len(data) - 1)] ^= 1 << source.below(8)
+        return bytes(data[:MOST_BYTES])
+
+    def one(self) -> Breach | None:
+        """Run one input; the first breach of a rule that was not yet found broken, shrunk and noted."""
+        found = self.next()
+        breaches, reached = self.target.check(found)
+        self.done.inputs += 1
+        new = [name for name in features(reached) if name not in self.done.features]
+        for name in new:
+            self.done.features[name] = 1
+        if new and not breaches:
+            self.pool.append(found)
+            self.done.kept.append(Kept(found, new[0]))
+        for breach in breaches[:1]:
+            if breach.rule not in self.done.findings:
+                self.done.findings[breach.rule] = smallest(self.target, found, breach)
+                return breach
+        return None
+
+    def run(self, seconds: float, inputs: int, tell: Callable[[Reached], None]) -> Reached:
+        """Run for so long, or for so many inputs (0: no bound); ``tell`` hears twice a second."""
+        start = told = time.monotonic()
+        while (not inputs or self.done.inputs < inputs) and (
+            not seconds or time.monotonic() - start < seconds
+        ):
+            self.one()
+            self.done.seconds = time.monotonic() - start
+            if time.monotonic() - told > 0.5:
+                told = time.monotonic()
+                tell(self.done)
+        tell(self.done)
+        return self.done
+
+
+def breaks(target: Target, rule: str) -> Callable[[Input], bool]:
+    """Whether an input breaks that rule first."""
+
+    def fails(found: Input) -> bool:
+        breaches, _ = target.check(found)
+        return bool(breaches) and breaches[0].rule == rule
+
+    return fails
+
+
+def smallest(target: Target, found: Input, breach: Breach, seconds: float = 20.0) -> Finding:
+    """A finding, its input made small."""
+    small = shrink(found, breaks(target, breach.rule), seconds)
+    breaches, _ = target.check(small)
+    seen = breaches[0].seen if breaches else breach.seen
+    return Finding(target.name, breach.rule, seen, small)
+
+
+def minimise(target: Target, kept: list[Kept]) -> list[Kept]:
+    """Those that reach something which no smaller one reaches, and the findings and hard cases."""
+    seen: set[str] = set()
+    chosen = []
+    for one in sorted(kept, key=lambda one: (not one.note.startswith("finding"), len(str(one.input)))):
+        _, reached = target.check(one.input)
+        new = features(reached) - seen
+        if new or one.note.startswith(("finding", "hard case")):
+            seen |= new
+            chosen.append(one)
+    return chosen
+
+
+def hypothesis_run(target: Target, seconds: float, seed: int) -> Iterator[Finding | int]:
+    """The same scripts drawn by hypothesis, which shrinks by itself: how many, then the findings."""
+    import hypothesis
+    from hypothesis import strategies
+
+    assert target.make is not None
+    make, until, count, last = target.make, time.monotonic() + seconds, 0, {}
+
+    class Over(BaseException):
+        """The time is over."""
+
+    def body(data: Any) -> None:
+        nonlocal count
+        if time.monotonic() > until:
+            raise Over
+        found = make(FromHypothesis(data, strategies.integers))
+        breaches, _ = target.check(found)
+        count += 1
+        if breaches:
+            last[breaches[0].rule] = Finding(target.name, breaches[0].rule, breaches[0].seen, found)
+            raise AssertionError(breaches[0].rule)
+
+    test = hypothesis.seed(seed)(
+        hypothesis.settings(
+            max_examples=1_000_000,
+            database=None,
+            deadline=None,
+            print_blob=False,
+            suppress_health_check=list(hypothesis.HealthCheck),
+        )(hypothesis.given(strategies.data())(body))
+    )
+    try:
+        test()
+    except (Over, AssertionError):
+        pass
+    yield count
+    yield from last.values()
--- /dev/null
+++ b/barleywheel/fuzz/source.py
@@ -0,0 +1,72 @@
+"""Choices that a generator of inputs makes: from a seed, from bytes, or from hypothesis."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from typing import Any, Protocol, TypeVar
+
+T = TypeVar("T")
+
+
+class Source(Protocol):
+    """Where choices come from."""
+
+    def below(self, most: int) -> int:
+        """A whole number from 0 to ``most`` - 1."""
+
+
+class Seeded:
+    """From a seed."""
+
+    def __init__(self, seed: int | str) -> None:
+        self._random = random.Random(seed)
+
+    def below(self, most: int) -> int:
+        """See ``Source``."""
+        return int(self._random.random() * most)
+
+
+class FromBytes:
+    """From bytes, two a choice; when they run out, always 0: so a short input is a short script."""
+
+    def __init__(self, data: bytes) -> None:
+        self._data, self._at = data, 0
+
+    @property
+    def empty(self) -> bool:
+        """Whether the bytes have run out."""
+        return self._at >= len(self._data)
+
+    def below(self, most: int) -> int:
+        """See ``Source``."""
+        size = 1 if most <= 256 else 2
+        taken = self._data[self._at : self._at + size]
+        self._at += size
+        return int.from_bytes(taken, "big") % most
+
+
+class FromHypothesis:
+    """From hypothesis' draws, which it shrinks by itself. ``data`` is what ``strategies.data`` gives."""
+
+    def __init__(self, data: Any, integers: Any) -> None:
+        self._data, self._integers = data, integers
+
+    def below(self, most: int) -> int:
+        """See ``Source``."""
+        return int(self._data.draw(self._integers(0, most - 1)))
+
+
+def pick(source: Source, options: Sequence[T]) -> T:
+    """One of several."""
+    return options[source.below(len(options))]
+
+
+def weighted(source: Source, options: Sequence[tuple[int, T]]) -> T:
+    """One of several, by weights that are whole numbers."""
+    at = source.below(sum(weight for weight, _ in options))
+    for weight, option in options:
+        at -= weight
+        if at < 0:
+            return option
+    raise AssertionError("no options")
--- /dev/null
+++ b/barleywheel/fuzz/targets.py
@@ -0,0 +1,396 @@
+"""What there is to fuzz: parsers by bytes, state machines by scripts."""
+
+from __future__ import annotations
+
+import functools
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from barleywheel import config
+from barleywheel.core.deadlines import Deadlines
+from barleywheel.facade import Facade
+from barleywheel.fuzz import codecs, module, scripts
+from barleywheel.fuzz.rules import Breach
+from barleywheel.fuzz.shrink import Input
+from barleywheel.fuzz.source import Source
+from barleywheel.net.buffer import Buffer
+from barleywheel.net.journal import BROKEN_OFF, Journal
+from barleywheel.standins import caller, exchange
+from barleywheel.virtual import world
+from barleywheel.wire import sip
+
+Result = tuple[list[Breach], dict[str, int]]
+
+
+@dataclass(frozen=True)
+class Target:
+    """One target. ``make`` stands where inputs are scripts, ``seeds`` and ``words`` where they are bytes."""
+
+    name: str
+    about: str
+    run: Callable[[Any], Result]
+    make: Callable[[Source], list[list[Any]]] | None = None
+    seeds: tuple[bytes, ...] = ()
+    words: tuple[bytes, ...] = ()
+
+    def check(self, found: Input) -> Result:
+        """Run one input; what raises in the harness itself is a finding as well."""
+        try:
+            return self.run(found)
+        except RecursionError as error:
+            return [Breach("recursion", str(error))], {}
+
+
+def _codec(check: Callable[[bytes], list[Breach]]) -> Callable[[bytes], Result]:
+    def run(data: bytes) -> Result:
+        breaches = check(data)
+        return breaches, {breach.rule: 1 for breach in breaches}
+
+    return run
+
+
+class Reads:
+    """A socket that has these pieces to give, then its end."""
+
+    def __init__(self, pieces: list[bytes]) -> None:
+        self._pieces = [piece for piece in pieces if piece]
+
+    def settimeout(self, seconds: float | None) -> None:
+        """Nothing is waited for here."""
+
+    def recv_into(self, view: memoryview) -> int:
+        """The next piece, or as much of it as there is room for."""
+        if not self._pieces:
+            return 0
+        piece = self._pieces.pop(0)
+        count = min(len(piece), len(view))
+        view[:count] = piece[:count]
+        if count < len(piece):
+            self._pieces.insert(0, piece[count:])
+        return count
+
+
+class Pool:
+    """Takes the hub list as the real pool does, and keeps nothing."""
+
+    def update(self, endpoints: list[Any], whole: bool) -> None:
+        """See ``HubPool``."""
+
+
+def check_http(data: bytes) -> Result:
+    """The journal's answers: any bytes are events, or an error after which the poll is opened anew."""
+    conf, ends = world.parsed(), []
+    reached: dict[str, int] = {}
+    for pieces in ([data], codecs.split(data)):
+        facade = Facade(conf.settings, conf.names, 1, Deadlines())
+        journal = Journal("10.2.0.1:1", facade, Pool())  # type: ignore[arg-type]
+        try:
+            kept = journal._poll(Reads(pieces), Buffer())  # type: ignore[arg-type]
+            end = f"again: {kept}" if len(pieces) < 2 else "again"
+        except BROKEN_OFF as error:
+            end = type(error).__name__
+        except Exception as error:
+            return [Breach("parser raised", f"{type(error).__name__}: {str(error)[:200]}")], {}
+        ends.append((end.split(":")[0], journal.pos, sorted(facade.entries)))
+        reached[end] = 1
+    return [], reached
+
+
+def check_config(data: bytes) -> Result:
+    """The platform's configuration: any bytes are a configuration or a ConfigError."""
+    try:
+        conf = config.parse(data, "fuzz", {})
+        Facade(conf.settings, conf.names, conf.seed, Deadlines())
+        return [], {"accepted": 1}
+    except config.ConfigError:
+        return [], {"refused": 1}
+    except Exception as error:
+        return [Breach("parser raised", f"{type(error).__name__}: {str(error)[:200]}")], {}
+
+
+def check_toml(data: bytes) -> Result:
+    """The operator's file: any bytes set up fronts that start, or are a ConfigError."""
+    try:
+        extras = config.parse_extras(data, "fuzz")
+    except config.ConfigError:
+        return [], {"refused": 1}
+    except Exception as error:
+        return [Breach("parser raised", f"{type(error).__name__}: {str(error)[:200]}")], {}
+    play = scripts.Play()
+    play.world.operator = extras
+    breaches = []
+    try:
+        with play.world:
+            play.world.run(3_000_000)
+            breaches = [Breach("greenlet ended", repr(fault)) for fault in play.world.runtime.faults]
+            breaches += [Breach("logged at ERROR", line) for line in play.world.lines.errors]
+    except config.ConfigError:
+        return [], {"can't start": 1}
+    except Exception as error:
+        return [Breach("start raised", f"{type(error).__name__}: {str(error)[:200]}")], {}
+    return breaches, {"accepted": 1}
+
+
+@functools.cache
+def _agent() -> Any:
+    from barleywheel.snmp.agent import Agent
+
+    play = scripts.Play()
+    play.world.__enter__()
+    agent = Agent(play.world.router, "10.0.0.4:1162", "public")
+    play.world.__exit__()
+    return agent
+
+
+def check_snmp(data: bytes) -> Result:
+    """The agent's datagrams: any bytes get an answer or none."""
+    try:
+        answer = _agent().answer(data)
+    except Exception as error:
+        return [Breach("parser raised", f"{type(error).__name__}: {str(error)[:200]}")], {}
+    if answer is not None and len(answer) > 65507:
+        return [Breach("answer too large", f"{len(answer)} bytes for {len(data)}")], {}
+    return [], {"answered" if answer else "dropped": 1}
+
+
+def circuits(source: Source) -> list[list[Any]]:
+    """Scripts of the exchange's link and circuits, with a few calls towards it."""
+    steps: list[list[Any]] = [["link", "up"]]
+    for _ in range(1 + source.below(40)):
+        kind = (
+            "iam",
+            "iam",
+            "new",
+            "anm",
+            "rel",
+            "rel",
+            "rlc",
+            "exchange",
+            "link",
+            "frame",
+            "down",
+            "bye",
+            "mode",
+            "wait",
+            "wait",
+        )[source.below(15)]
+        step = [kind, *scripts.MAKERS[kind](source)]
+        if kind == "new":
+            step[3] = world.EXCHANGE_CELL
+        steps.append(step)
+    return steps
+
+
+DATAGRAM = bytes.fromhex("302602010104067075626c6963a019020101020100020100300e300c06082b060102010101000500")
+HTTP = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
+EVENTS = json.dumps(
+    {
+        "pos": 2,
+        "entries": [
+            {
+                "pos": 1,
+                "hosts": {
+                    "snapshot": True,
+                    "endpoints": [world.endpoint("h1"), world.endpoint("h2", "Terminating", 5)],
+                },
+            },
+            {"pos": 2, "hosts": {"endpoints": [world.endpoint("h1", "Gone")]}},
+        ],
+    }
+).encode()
+CONFIG = json.dumps(
+    {
+        "name": "n3",
+        "listen": "10.0.0.4:3868",
+        "seed": "8c",
+        "journal": "10.2.0.1:2379",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 4096},
+        "known": {"pos": 0, "entries": []},
+        "settings": world.SETTINGS,
+    }
+).encode()
+
+TARGETS = {
+    target.name: target
+    for target in (
+        Target(
+            "jsonlines",
+            "callers' lines, whole and split",
+            _codec(codecs.check_jsonlines),
+            seeds=(
+                caller.setup("9b1f03aa5c7e2d41", 2, b"v=0\r\n\xff\xfe"),
+                caller.line("down", "9b1f03aa5c7e2d41", c=16),
+                caller.line("hb", "1", c=0),
+                b"\n\n{}\n",
+            ),
+            words=(
+                b'"t":"new"',
+                b'"ref":',
+                b'"f":{',
+                b'"d":"',
+                b"\\ud800",
+                b"\xed\xa0\x80",
+                b"\n",
+                b"1e999",
+                b"NaN",
+                b"Infinity",
+                b"true",
+                b"null",
+                b"[" * 2000,
+                b"9" * 5000,
+                b"x" * 16384,
+                b"dest:1;width:1;via:-1",
+            ),
+        ),
+        Target(
+            "sip",
+            "hubs' messages, whole and split",
+            _codec(codecs.check_sip),
+            seeds=(
+                sip.invite("9b1f03aa5c7e2d41", 1, "7f3a", "voice", 1500, b"v=0\r\n"),
+                b"SIP/2.0 200 OK\r\nVia: SIP/2.0/TCP p\r\nCall-ID: 9b1f03aa5c7e2d41\r\nCSeq: 1 INVITE\r\n"
+                b"X-State: x0:12;x1:40;queue:3\r\nContent-Length: 3\r\n\r\nabc",
+                sip.bye("9b1f03aa5c7e2d41", 2, "7f3a", 41),
+            ),
+            words=(
+                b"SIP/2.0 ",
+                b"\r\n\r\n",
+                b"\r\n",
+                b"Content-Length: ",
+                b"CSeq: ",
+                b"Reason: Q.850;cause=",
+                b"X-State: ",
+                b"l: ",
+                b"i: ",
+                b"\r\n ",
+                b"9" * 5000,
+                b"3000000000",
+                b"\x00",
+                b"\xff",
+                b"inf",
+                b"nan",
+                b"X: " + b"y" * 8000 + b"\r\n",
+            ),
+        ),
+        Target(
+            "m3ua",
+            "exchanges' messages, whole and split, with the ISUP in them",
+            _codec(codecs.check_m3ua),
+            seeds=(
+                exchange.iam(1, b"v=0"),
+                exchange.anm(2, b"v=0"),
+                exchange.rel(3, 41),
+                exchange.encode(exchange.ASPUP, {0x11: b"\0\0\0\1"}),
+                exchange.encode(exchange.DUNA, {0x12: b"\0\0\0\xc8"}),
+            ),
+            words=(b"\x01\x00\x01\x01", b"\x02\x10", b"\x00\x06\x00\x08", b"\x00\x00\x40\x00", b"\xff\xff"),
+        ),
+        Target(
+            "isup",
+            "one ISUP message",
+            _codec(codecs.check_isup),
+            seeds=tuple(
+                whole[36:]
+                for whole in (
+                    exchange.iam(1, b"v=0"),
+                    exchange.anm(2, b"v=0"),
+                    exchange.rel(3, 41),
+                    exchange.transfer(1, 16),
+                    exchange.transfer(1, 18),
+                )
+            ),
+            words=(b"\x20", b"\x00", b"\xff", b"\x02\x0a"),
+        ),
+        Target(
+            "snmp",
+            "the agent's datagrams",
+            check_snmp,
+            seeds=(DATAGRAM,),
+            words=(
+                b"\x30\x80",
+                b"\x06\x08",
+                b"\xa0",
+                b"\xa1",
+                b"\xa5",
+                b"\x84\xff\xff\xff\xff",
+                b"\x30" * 200,
+            ),
+        ),
+        Target(
+            "http",
+            "the journal's answers",
+            check_http,
+            seeds=(
+                HTTP % (len(EVENTS), EVENTS),
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+            ),
+            words=(
+                b'"pos":',
+                b"1e999",
+                b"null",
+                b"[]",
+                b"{}",
+                b"-1",
+                b'"endpoints":',
+                b"Content-Length: ",
+                b"\r\n\r\n",
+                b"Transfer-Encoding: chunked",
+                b"101 Switching",
+                b"Upgrade: x\r\nConnection: Upgrade\r\n",
+            ),
+        ),
+        Target(
+            "config",
+            "the platform's configuration",
+            check_config,
+            seeds=(CONFIG,),
+            words=(
+                b"1e999",
+                b"null",
+                b"[]",
+                b"{}",
+                b"-1",
+                b"NaN",
+                b'"x"',
+                b"[" * 3000,
+                b"9" * 5000,
+                b"true",
+                b"0",
+            ),
+        ),
+        Target(
+            "toml",
+            "the operator's file, and a start with it",
+            check_toml,
+            seeds=(world.EXTRAS.encode(),),
+            words=(
+                b"1e999",
+                b"nan",
+                b"-1",
+                b"0",
+                b'""',
+                b"[]",
+                b"{}",
+                b"99999999999",
+                b'"0-99999999999"',
+                b"true",
+                b"[m3ua]",
+                b"[snmp]",
+                b"[[m3ua.peer]]",
+                b"inf",
+                b'"1-8,2"',
+                b"= 0\n",
+            ),
+        ),
+        Target("module", "the decision module, in any order of legal events", module.play, module.make),
+        Target("circuits", "one exchange's link and circuits", scripts.play, circuits),
+        Target(
+            "router",
+            "the whole router: callers, hubs, journal, exchange, agent, signals",
+            scripts.play,
+            scripts.make,
+        ),
+    )
+}
--- a/barleywheel/net/buffer.py
+++ b/barleywheel/net/buffer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import gevent.socket
+from barleywheel.net.sockets import Socket
 
 START_SIZE = 4096
 
@@ -17,7 +17,7 @@
     def __len__(self) -> int:
         return self.end - self.start
 
-    def fill(self, sock: gevent.socket.socket) -> int:
+    def fill(self, sock: Socket) -> int:
         """Read once from the socket; 0 at its end."""
         self.reserve()
         with memoryview(self.data) as view:
@@ -38,6 +38,10 @@
         if self.end > len(self.data) // 2:
             self.data.extend(bytes(len(self.data)))
 
+    def searched(self, mark: bytes) -> int:
+        """How many bytes from the start are known not to begin the mark."""
+        return 0
+
     def find(self, mark: bytes) -> int:
         """Where the mark stands, counted from the start; -1 if it does not."""
         at = self.data.find(mark, self.start, self.end)
--- a/barleywheel/net/connection.py
+++ b/barleywheel/net/connection.py
@@ -3,19 +3,14 @@
 from __future__ import annotations
 
 import errno
-import fcntl
 import logging
-import sys
-import termios
 from collections.abc import Callable, Iterator
 from typing import TypeVar
 
-import gevent
-import gevent.socket
-from gevent.event import Event
-
+from barleywheel.core import runtime
 from barleywheel.core.deadlines import Deadlines, Handle
-from barleywheel.core.model import now_us
+from barleywheel.core.runtime import now_us
+from barleywheel.net import sockets
 from barleywheel.net.buffer import Buffer
 from barleywheel.wire import Malformed
 
@@ -33,15 +28,14 @@
     ``first`` says so: half a message would hold its place for good.
     """
 
-    def __init__(self, sock: gevent.socket.socket, peer: str, deadlines: Deadlines, patience_us: int,
+    def __init__(self, sock: sockets.Socket, peer: str, deadlines: Deadlines, patience_us: int,
                  first: bool = True) -> None:
-        sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
         self.sock, self.peer = sock, peer
         self.open, self.reset = True, False
         self.buffer = Buffer()
         self._queue = bytearray()
-        self._more = Event()
-        self._writer: gevent.Greenlet[[], None] | None = None
+        self._more = runtime.event()
+        self._writing = False
         self._deadlines, self._patience_us = deadlines, patience_us
         self._late: Handle | None = None
         if first:
@@ -54,10 +48,7 @@
 
     def unread(self) -> int:
         """Bytes that have come and that nobody has read yet."""
-        if not self.open:
-            return 0
-        count = fcntl.ioctl(self.sock.fileno(), termios.FIONREAD, bytes(4))
-        return int.from_bytes(count, sys.byteorder)
+        return sockets.unread(self.sock) if self.open else 0
 
     def write(self, data: bytes) -> bool:
         """Send, or queue what the socket does not take now; False if the connection is closed."""
@@ -66,7 +57,7 @@
         sent = 0
         if not self._queue:
             try:
-                sent = self.sock.send(data, 0, timeout=0.0)  # type: ignore[call-arg]
+                sent = self.sock.send(data, 0, timeout=0.0)
             except OSError as error:
                 if error.errno not in BLOCKED:
                     self.close(reset=True)
@@ -78,8 +69,9 @@
                 return False
             self._queue += data[sent:]
             self._more.set()
-            if self._writer is None:
-                self._writer = gevent.spawn(self._drain)
+            if not self._writing:
+                self._writing = True
+                runtime.spawn(self._drain)
         return True
 
     def _drain(self) -> None:
@@ -107,7 +99,7 @@
                     yield message
                     count += 1
                     if count % TURN == 0:
-                        gevent.sleep(0)
+                        runtime.sleep(0)
                 if len(self.buffer) and self._late is None and self.open:
                     self._await_rest()
         except Malformed as error:
--- a/barleywheel/net/hubs.py
+++ b/barleywheel/net/hubs.py
@@ -6,14 +6,13 @@
 from collections import OrderedDict
 from typing import Any
 
-import gevent
-import gevent.socket
-from gevent.event import Event
-
+from barleywheel.core import runtime
 from barleywheel.core.deadlines import Deadlines
 from barleywheel.core.life import Life
-from barleywheel.core.model import Attempt, Call, End, Leg, Note, Outcome, now_us
+from barleywheel.core.model import Attempt, Call, End, Leg, Note, Outcome
+from barleywheel.core.runtime import now_us
 from barleywheel.facade import Facade
+from barleywheel.net import sockets
 from barleywheel.net.connection import Connection
 from barleywheel.wire import sip
 
@@ -35,7 +34,7 @@
 class HubConnection(Connection):
     """A connection and the set-ups open on it."""
 
-    def __init__(self, sock: gevent.socket.socket, peer: str, deadlines: Deadlines) -> None:
+    def __init__(self, sock: sockets.Socket, peer: str, deadlines: Deadlines) -> None:
         super().__init__(sock, peer, deadlines, REST_US, first=False)
         self.setups: dict[tuple[str, int], Attempt] = {}
         self.dead: OrderedDict[tuple[str, int], None] = OrderedDict()  # what a late 200 must be undone for
@@ -67,7 +66,7 @@
         self.gone = False
         self.heard_us = now_us()
         self.doubted_us = 0  # the heard_us for which a release of its calls is already due
-        self.wake, self.came = Event(), Event()  # for its keeper; a try to connect has ended
+        self.wake, self.came = runtime.event(), runtime.event()  # for its keeper; a try to connect has ended
         self.releases: list[tuple[int, str, int, str, int]] = []  # waiting for a connection: until, BYE
 
     def usable(self, call: Call | None = None) -> HubConnection | None:
@@ -100,7 +99,7 @@
             elif name not in self.hubs and endpoint.get("address") is not None:
                 self.hubs[name] = Hub(name, str(endpoint["address"]))
                 if self.facade.cell(name) != self.facade.home and not self._elsewhere(name):
-                    gevent.spawn(self._keep, self.hubs[name])
+                    runtime.spawn(self._keep, self.hubs[name])
         if whole:
             for name in [name for name in self.hubs if name not in named]:
                 self._drop(name)
@@ -167,15 +166,10 @@
 
     def _connect(self, hub: Hub) -> HubConnection | None:
         """Open a connection; blocks until it is up, refused or timed out."""
-        host, _, port = hub.address.rpartition(":")
         hub.connecting += 1
-        sock = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_STREAM)
         try:
-            sock.settimeout(self.connect_timeout_s)
-            sock.connect((host, int(port)))
-            sock.settimeout(None)
+            sock = sockets.connect(hub.address, self.connect_timeout_s)
         except (OSError, ValueError) as error:
-            sock.close()
             log.info("hub not reached: hub=%s %s", hub.name.decode(), error)
             if not isinstance(error, ConnectionRefusedError):
                 self._doubt(hub)
@@ -189,13 +183,9 @@
             hub.connecting -= 1
             hub.came.set()
         hub.heard_us = now_us()
-        try:
-            conn = HubConnection(sock, hub.name.decode(), self.deadlines)
-        except OSError:  # reset as soon as it was up
-            sock.close()
-            return None
+        conn = HubConnection(sock, hub.name.decode(), self.deadlines)
         hub.conns.append(conn)
-        gevent.spawn(self._read, hub, conn)
+        runtime.spawn(self._read, hub, conn)
         for until, ref, cseq, number, cause in hub.releases:
             if until > now_us():
                 conn.write(sip.bye(ref, cseq, number, cause))
@@ -230,7 +220,7 @@
         elif (conn := hub.usable(attempt.call)) is not None:
             self._send(conn, attempt)
         else:
-            gevent.spawn(self._connect_and_send, hub, attempt)
+            runtime.spawn(self._connect_and_send, hub, attempt)
 
     def _connect_and_send(self, hub: Hub, attempt: Attempt) -> None:
         if len(hub.conns) + hub.connecting >= MOST:
--- a/barleywheel/net/journal.py
+++ b/barleywheel/net/journal.py
@@ -6,11 +6,12 @@
 import logging
 from typing import Any
 
-import gevent.socket
 import httptools
-from gevent.event import Event
 
+from barleywheel.core import runtime
+from barleywheel.core.runtime import now_us
 from barleywheel.facade import Facade
+from barleywheel.net import sockets
 from barleywheel.net.buffer import Buffer
 from barleywheel.net.hubs import HubPool
 
@@ -20,6 +21,7 @@
 CONNECT_S = 0.6
 RETRY_S = 0.2
 MOST = 4 * 1024 * 1024
+BROKEN_OFF = (OSError, ValueError, TypeError, KeyError, httptools.HttpParserError)
 
 
 class Answer:
@@ -45,8 +47,8 @@
         self.address, self.facade, self.hubs = address, facade, hubs
         self.pos = 0
         self.alive = False  # for the agent
-        self._sock: gevent.socket.socket | None = None
-        self._moved = Event()
+        self._sock: sockets.Socket | None = None
+        self._moved = runtime.event()
 
     def move(self, address: str) -> None:
         """Go on at another address, from the next number on; the old connection is dropped."""
@@ -82,19 +84,18 @@
             self._moved.clear()
             try:
                 self._follow()
-            except (OSError, ValueError, TypeError, KeyError, httptools.HttpParserError) as error:
+            except BROKEN_OFF as error:
                 if self.alive and not self._moved.is_set():
                     log.warning("journal poll broken off, opened anew: %s", error or type(error).__name__)
                 self.alive = False
             self._moved.wait(RETRY_S)
 
     def _follow(self) -> None:
-        host, _, port = self.address.rpartition(":")
-        sock = self._sock = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_STREAM)
+        sock = self._sock = sockets.connect(self.address, CONNECT_S)
+        if self._moved.is_set():  # while it was being connected
+            sock.close()
+            return
         try:
-            sock.settimeout(CONNECT_S)
-            sock.connect((host, int(port)))
-            sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
             buffer, again = Buffer(), True
             while again:
                 sock.settimeout(STALL_S)
@@ -105,17 +106,18 @@
             self._sock = None
             sock.close()
 
-    def _poll(self, sock: gevent.socket.socket, buffer: Buffer) -> bool:
+    def _poll(self, sock: sockets.Socket, buffer: Buffer) -> bool:
         """Read one answer; whether the connection may be used again."""
         answer = Answer()
         parser = httptools.HttpResponseParser(answer)
-        with gevent.Timeout(STALL_S, TimeoutError("poll stalled")):
-            while not answer.done:
-                if buffer.fill(sock) == 0:
-                    raise ConnectionError("closed by the service")
-                parser.feed_data(buffer.take(len(buffer)))
-                if len(answer.body) > MOST:
-                    raise ValueError("answer too large")
+        until = now_us() + int(STALL_S * 1e6)
+        while not answer.done:
+            sock.settimeout(max(0.0, (until - now_us()) / 1e6))
+            if buffer.fill(sock) == 0:
+                raise ConnectionError("closed by the service")
+            parser.feed_data(buffer.take(len(buffer)))
+            if len(answer.body) > MOST:
+                raise ValueError("answer too large")
         if parser.get_status_code() != 200:
             raise ValueError(f"status {parser.get_status_code()}")
         self.apply(json.loads(answer.body))
--- /dev/null
+++ b/barleywheel/router.py
@@ -0,0 +1,94 @@
+"""The parts of one call router, put together: start, follow the configuration, leave."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from barleywheel import config
+from barleywheel.core import runtime
+from barleywheel.core.deadlines import Deadlines
+from barleywheel.core.life import Life
+from barleywheel.core.model import CAUSE_CUT, Rejection
+from barleywheel.core.release import Standing
+from barleywheel.core.runtime import now_us
+from barleywheel.facade import Facade
+from barleywheel.fronts.m3ua import M3uaFront
+from barleywheel.fronts.platform import PlatformFront
+from barleywheel.net.hubs import HubPool
+from barleywheel.net.journal import Journal
+
+log = logging.getLogger("barleywheel")
+ACCEPT_S = 0.9  # how long after SIGTERM new set-ups may still come
+LONGEST_S = 3.0  # SIGKILL may follow 0.7 s after the longest deadline, which counts as no more than this
+LEAVE_S = 0.4  # what is left this long after that deadline is failed at once: the answers need time to go
+
+
+class Router:
+    """One call router. ``reload`` is set where the configuration is to be read again by ``load``."""
+
+    def __init__(self, conf: config.Config, extras: config.Extras,
+                 load: Callable[[], config.Config] = config.load) -> None:
+        self.deadlines = Deadlines()
+        self.facade = Facade(conf.settings, conf.names, conf.seed, self.deadlines)
+        self.standing = Standing(self.deadlines)
+        self.life = Life(self.facade, self.deadlines, self.standing)
+        self.hubs = HubPool(self.life, self.facade, self.deadlines, conf.connect_timeout_us)
+        self.life.default = self.hubs
+        self.front = PlatformFront(self.life, self.deadlines, conf.sockets // 2)
+        self.standing.stranger_to = self.front
+        self.journal = Journal(conf.journal, self.facade, self.hubs)
+        self.stop, self.reload = runtime.event(), runtime.event()
+        self.leave_s = min(LONGEST_S, max(c.deadline_us for c in conf.settings.classes) / 1e6) + LEAVE_S
+        self._load = load
+        self.snmp = extras.snmp
+        self.m3ua: M3uaFront | None = None
+        if extras.m3ua is not None:
+            self.m3ua = M3uaFront(extras.m3ua, self.life, self.facade, self.deadlines)
+
+    def start(self, conf: config.Config) -> None:
+        """Listen and begin to serve; ConfigError where that can't be."""
+        try:
+            self.journal.apply(conf.known)
+            self.front.listen(conf.listen)
+            if self.m3ua is not None:
+                self.m3ua.listen()
+                runtime.spawn(self.m3ua.run, broken=self._broken)
+            if self.snmp is not None:
+                from barleywheel.snmp.agent import Agent  # only here: it loads a library of its own
+
+                agent = Agent(self, self.snmp.listen, self.snmp.community)
+                runtime.spawn(agent.run, broken=self._broken)
+        except (KeyError, ValueError, TypeError, OSError) as error:
+            raise config.ConfigError(f"can't start: {type(error).__name__}: {error}") from error
+        for part in (self.deadlines.run, self.journal.run, self.front.run, self._reload):
+            runtime.spawn(part, broken=self._broken)
+
+    def _reload(self) -> None:
+        """Read the configuration again whenever that is asked for, and follow a journal that moved."""
+        while True:
+            self.reload.wait()
+            self.reload.clear()
+            try:
+                conf = self._load()
+            except config.ConfigError as error:
+                log.warning("configuration not reloaded, the old one stays: %s", error)
+                continue
+            log.info("configuration reloaded: journal=%s", conf.journal)
+            self.journal.move(conf.journal)
+
+    def _broken(self, greenlet: object) -> None:
+        log.critical("a part of the router ended: %s", greenlet)
+
+    def leave(self) -> None:
+        """Finish what is taken: callers may still send for a while."""
+        self.front.leaving = True
+        until = now_us() + int(self.leave_s * 1e6)
+        runtime.sleep(min(ACCEPT_S, self.leave_s))
+        self.front.close()
+        # Guards set-ups that still come on open connections: one taken as we went was never answered.
+        while (not self.front.hang_up() or self.life.open) and now_us() < until:
+            runtime.sleep(0.02)
+        for call in list(self.life.open.values()):
+            call.close(Rejection(CAUSE_CUT))
+        runtime.sleep(0.05)
--- a/barleywheel/snmp/agent.py
+++ b/barleywheel/snmp/agent.py
@@ -9,16 +9,17 @@
 from bisect import bisect_right
 from typing import TYPE_CHECKING, Any
 
-import gevent.socket
 from pyasn1.codec.ber import decoder, encoder
 from pyasn1.error import PyAsn1Error
 from pysnmp.proto.api import v2c
 from pysnmp.proto.error import ProtocolError
 
-from barleywheel.core.model import End, now_us
+from barleywheel.core.model import End
+from barleywheel.core.runtime import now_us
+from barleywheel.net import sockets
 
 if TYPE_CHECKING:
-    from barleywheel.__main__ import Router
+    from barleywheel.router import Router
 
 log = logging.getLogger(__name__)
 Oid = tuple[int, ...]
@@ -36,9 +37,7 @@
         self.router, self.community = router, community.encode()
         self.started_us = now_us()
         self.hub_numbers: dict[bytes, int] = {}
-        host, _, port = listen.rpartition(":")
-        self.sock = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_DGRAM)
-        self.sock.bind((host, int(port)))
+        self.sock = sockets.datagrams(listen)
 
     def run(self) -> None:
         """Answer for ever."""
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -15,7 +15,7 @@
 import pytest
 
 from barleywheel import config
-from barleywheel.__main__ import Router
+from barleywheel.router import Router
 from tests.netrig import BODY, PATIENCE, ROOT, SETTINGS, Hub, Journal, Sip, stands, world
 
 REF = "9b1f03aa5c7e2d41"
