--- a/barleywheel/benchlink.py
+++ b/barleywheel/benchlink.py
@@ -102,7 +102,7 @@
         raise SettingsError("settings are not a JSON object")
     try:
         return _settings(raw)
-    except (TypeError, ValueError, AttributeError) as error:
+    except (TypeError, ValueError, OverflowError, AttributeError) as error:
         raise SettingsError(f"setting with an unusable value: {error}") from error
 
 
--- a/barleywheel/config.py
+++ b/barleywheel/config.py
@@ -11,7 +11,11 @@
 
 from barleywheel import interface as api
 from barleywheel.benchlink import SettingsError, parse_settings
+from barleywheel.wire import Malformed
+from barleywheel.wire import journal as journal_wire
+from barleywheel.wire.journal import Event
 
+MOST_CIC, MOST_POINT_CODE, MOST_MS = 0xFFF, 0xFFFFFF, 3_600_000
 ADDRESS = re.compile(r"[^\s:]+:\d{1,5}\Z")
 
 
@@ -29,7 +33,7 @@
     seed: int
     sockets: int
     connect_timeout_us: int
-    known: dict[str, Any]
+    known: tuple[int, list[Event]]
     settings: api.Settings
     names: dict[str, list[str]]
 
@@ -57,7 +61,7 @@
     """Read a configuration's bytes; ConfigError, which names the path, where they can't be used."""
     try:
         raw = json.loads(data)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ConfigError(f"{path}: {error}") from error
     if not isinstance(raw, dict) or not isinstance(raw.get("settings"), dict):
         raise ConfigError(f"{path}: no settings")
@@ -66,9 +70,6 @@
         parsed, _ = parse_settings(json.dumps(settings).encode())
         classes = [str(item.get("name", at)) for at, item in enumerate(settings["classes"])]
         limits = settings.get("limits") or {}
-        known = raw.get("known") or {}
-        if not isinstance(known, dict):
-            raise ConfigError(f"{path}: known is no object")
         return Config(
             name=environ.get("LB_NAME") or str(raw.get("name", "")),
             listen=address(environ.get("LB_LISTEN") or raw.get("listen"), "listen"),
@@ -76,12 +77,12 @@
             seed=int(str(raw.get("seed", "0")), 16),
             sockets=int((raw.get("limits") or {}).get("sockets", 1024)),
             connect_timeout_us=int(limits.get("connect_timeout_us") or 500_000),
-            known=known,
+            known=journal_wire.events(raw.get("known") or {}),
             settings=parsed,
             names={"classes": classes, "zones": [str(z) for z in settings.get("zones") or []],
                    "kinds": [str(k) for k in settings.get("kinds") or []]},
         )
-    except (SettingsError, ValueError, TypeError, AttributeError) as error:
+    except (SettingsError, Malformed, ValueError, OverflowError, TypeError, AttributeError) as error:
         raise ConfigError(f"{path}: {error}") from error
 
 
@@ -157,7 +158,7 @@
                       _snmp(raw["snmp"]) if "snmp" in raw else None)
     except KeyError as error:
         raise ConfigError(f"{path}: {error} is missing") from error
-    except (ValueError, TypeError, AttributeError) as error:
+    except (ValueError, OverflowError, RecursionError, TypeError, AttributeError) as error:
         raise ConfigError(f"{path}: {error}") from error
 
 
@@ -166,28 +167,42 @@
     found: list[int] = []
     for part in text.split(","):
         first, _, last = part.partition("-")
+        if not 0 <= int(first) <= int(last or first) <= MOST_CIC:  # before any list is made of them
+            raise ValueError(f"no circuits: {text!r}")
         found += range(int(first), int(last or first) + 1)
-    if not found or not 0 <= min(found) <= max(found) <= 0xFFF:
-        raise ValueError(f"no circuits: {text!r}")
+    if not found or len(set(found)) < len(found):
+        raise ValueError(f"no circuits, or one twice: {text!r}")
     return found
 
 
+def _within(raw: dict[str, Any], key: str, least: int, most: int, default: int | None = None) -> int:
+    """A whole number of the file's; ValueError where it is none or out of its range."""
+    value: object = raw[key] if default is None else raw.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, int) or not least <= value <= most:
+        raise ValueError(f"{key} is no whole number from {least} to {most}: {str(value)[:40]!r}")
+    return value
+
+
 def _m3ua(raw: dict[str, Any]) -> M3uaConfig:
-    peers = [PeerConfig(int(peer["point_code"]), peer.get("asp"), _circuits(str(peer["circuits"])),
-                        peer.get("cell")) for peer in raw["peer"]]
+    peers = [PeerConfig(_within(peer, "point_code", 0, MOST_POINT_CODE),
+                        _within(peer, "asp", 0, 0xFFFFFFFF) if "asp" in peer else None,
+                        _circuits(str(peer["circuits"])),
+                        _within(peer, "cell", 0, 0xFFFF) if "cell" in peer else None) for peer in raw["peer"]]
     if len({peer.point_code for peer in peers}) < len(peers) or not peers:
         raise ValueError("peers need point codes of their own")
     return M3uaConfig(
         listen=address(raw["listen"], "m3ua.listen"),
-        point_code=int(raw["point_code"]),
-        network_indicator=int(raw.get("network_indicator", 2)),
-        routing_context=int(raw.get("routing_context", 1)),
-        rlc_ms=int(raw.get("rlc_ms", 15_000)),
-        beat_ms=int(raw.get("beat_ms", 30_000)),
-        up_ms=int(raw.get("up_ms", 5_000)),
-        classes={name: ClassConfig(int(item["category"]), int(item["patience_ms"]))
+        point_code=_within(raw, "point_code", 0, MOST_POINT_CODE),
+        network_indicator=_within(raw, "network_indicator", 0, 3, 2),
+        routing_context=_within(raw, "routing_context", 0, 0xFFFFFFFF, 1),
+        rlc_ms=_within(raw, "rlc_ms", 10, MOST_MS, 15_000),
+        beat_ms=_within(raw, "beat_ms", 10, MOST_MS, 30_000),
+        up_ms=_within(raw, "up_ms", 10, MOST_MS, 5_000),
+        classes={name: ClassConfig(_within(item, "category", 0, 255),
+                                   _within(item, "patience_ms", 1, MOST_MS))
                  for name, item in raw["classes"].items()},
-        numbers={str(prefix).lower(): int(cell) for prefix, cell in raw["numbers"].items()},
+        numbers={str(prefix).lower(): _within(raw["numbers"], prefix, 0, 0xFFFF)
+                 for prefix in raw["numbers"]},
         peers=peers,
     )
 
--- a/barleywheel/facade.py
+++ b/barleywheel/facade.py
@@ -8,7 +8,6 @@
 import logging
 from collections.abc import Callable
 from functools import partial
-from typing import Any
 
 from barleywheel import interface as api
 from barleywheel.benchlink import LOAD_FIELDS
@@ -27,6 +26,7 @@
     Send,
 )
 from barleywheel.core.runtime import from_unix_us, now_us
+from barleywheel.wire.journal import Endpoint
 
 log = logging.getLogger(__name__)
 ENDS = {
@@ -154,7 +154,7 @@
         """Tell a report on the group towards a hub, and on its processor where it says so."""
         self._tell(api.LoadSeen(hub, api.Outcome.OK, 0, _load(values)))
 
-    def hubs(self, endpoints: list[dict[str, Any]], whole: bool) -> None:
+    def hubs(self, endpoints: list[Endpoint], whole: bool) -> None:
         """Tell a change of the hub list, or the whole of it."""
         entries = [self._entry(endpoint) for endpoint in endpoints]
         if whole:
@@ -168,17 +168,16 @@
         self._told = True
         self._tell(api.Discovery(mode if whole else api.ListMode.DELTA, entries))
 
-    def _entry(self, endpoint: dict[str, Any]) -> api.Entry:
+    def _entry(self, endpoint: Endpoint) -> api.Entry:
         states = {"Ready": api.State.READY, "Terminating": api.State.DRAINING, "Gone": api.State.GONE}
-        since_us = int(endpoint.get("since_ms") or 0) * 1000
         return api.Entry(
-            exchange=str(endpoint["name"]).encode(),
-            cell=int(endpoint.get("group", 0)),
-            state=states.get(str(endpoint.get("status")), api.State.DRAINING),
-            zone=self._names["zones"].get(str(endpoint.get("zone")), 0),
-            share=float(endpoint.get("weight", 1.0)),
-            kind=self._names["kinds"].get(str(endpoint.get("type")), 0),
-            launched_us=from_unix_us(since_us) if since_us else 0,
+            exchange=endpoint.name.encode("utf-8", "surrogatepass"),
+            cell=endpoint.cell,
+            state=states.get(endpoint.status, api.State.DRAINING),
+            zone=self._names["zones"].get(endpoint.zone, 0),
+            share=endpoint.weight,
+            kind=self._names["kinds"].get(endpoint.kind, 0),
+            launched_us=from_unix_us(endpoint.since_ms * 1000) if endpoint.since_ms else 0,
         )
 
     # The module.
--- a/barleywheel/fronts/m3ua.py
+++ b/barleywheel/fronts/m3ua.py
@@ -86,6 +86,7 @@
     front: M3uaFront
     conf: PeerConfig
     circuits: dict[int, Circuit] = field(default_factory=dict)
+    # The circuits that calls came in on; one that goes out over the same exchange has a second circuit here.
     by_ref: dict[str, Circuit] = field(default_factory=dict)
     link: Link | None = None
     unavailable = False  # DUNA
@@ -123,7 +124,7 @@
         """The circuit is idle again."""
         if circuit.timer is not None:
             self.front.deadlines.drop(circuit.timer)
-        self.by_ref.pop(circuit.ref, None)
+        self._forget(circuit)
         circuit.state = State.IDLE  # whoever still holds the old one must not release a later call by it
         self.circuits[circuit.cic] = Circuit(circuit.cic)
         self.tell()
@@ -139,9 +140,13 @@
     def hang_up(self, circuit: Circuit, cause: int) -> None:
         """Send REL, or let it wait for the link; the circuit is taken until RLC."""
         circuit.state, circuit.attempt, circuit.cause, circuit.sent = State.RELEASING, None, cause, 0
-        self.by_ref.pop(circuit.ref, None)
+        self._forget(circuit)
         self.rel(circuit)
 
+    def _forget(self, circuit: Circuit) -> None:
+        if self.by_ref.get(circuit.ref) is circuit:
+            del self.by_ref[circuit.ref]
+
     def rel(self, circuit: Circuit) -> None:
         """Send REL once and wait for its RLC, or queue it: it goes out when the ASP is active again."""
         circuit.timer = None
@@ -205,7 +210,6 @@
                 return
             attempt.sent_us, attempt.slot = now_us(), circuit
             circuit.state, circuit.ref, circuit.attempt = State.OUT, request.ref, attempt
-            self.by_ref[request.ref] = circuit
             if self.send(iam):
                 self.tell()
             elif not attempt.over:
@@ -508,6 +512,8 @@
 
     def _destination(self, number: str) -> int:
         """The cell of the longest prefix that fits; -1 for none."""
+        if not 0 < len(number) <= isup.MOST_DIGITS:  # what hubs take: they close on anything else
+            return -1
         fits = [prefix for prefix in self.conf.numbers if number.startswith(prefix)]
         return self.conf.numbers[max(fits, key=len)] if fits else -1
 
@@ -542,7 +548,7 @@
             self.life.abandon(ref)
         elif state is State.UP and ref in self.life.standing.legs:
             leg = self.life.standing.legs[ref]
-            if leg.carrier is peer:
+            if leg.slot is circuit:
                 self.life.standing.by_hub(ref, cause)
             else:
                 self.life.standing.by_caller(ref, cause)
--- a/barleywheel/fronts/platform.py
+++ b/barleywheel/fronts/platform.py
@@ -49,7 +49,8 @@
 
     def reject(self, request: Request, rejection: Rejection) -> None:
         """Tell that the call is refused or failed, and when to come back where the module advises it."""
-        self.refs.discard(request.ref)
+        if request.ref not in self.front.life.open:  # a repeat of an open id: the first is still open here
+            self.refs.discard(request.ref)
         ms = math.ceil(rejection.retry_after_us / 1000)
         advice = {"wait": str(ms)} if ms else {}
         self.conn.write(jsonlines.encode("down", request.ref, advice, rejection.cause))
@@ -176,7 +177,7 @@
         if self.life.abandon(ref):
             caller.refs.discard(ref)
             return
-        number = cause if isinstance(cause, int) and 0 < cause < 128 else CAUSE_NORMAL
+        number = cause if type(cause) is int and 0 < cause < 128 else CAUSE_NORMAL  # true is an int too
         leg = self.life.standing.legs.get(ref)
         if leg is not None and isinstance(leg.origin, Caller):
             leg.origin.standing -= 1
--- a/barleywheel/net/buffer.py
+++ b/barleywheel/net/buffer.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from barleywheel.net.sockets import Socket
 
 START_SIZE = 4096
@@ -13,6 +15,8 @@
     def __init__(self) -> None:
         self.data = bytearray(START_SIZE)
         self.start = self.end = 0
+        self.held: Any = None  # what a codec made of the first bytes; forgotten when any are taken
+        self._mark, self._searched = b"", 0
 
     def __len__(self) -> int:
         return self.end - self.start
@@ -40,12 +44,19 @@
 
     def searched(self, mark: bytes) -> int:
         """How many bytes from the start are known not to begin the mark."""
-        return 0
+        return self._searched if mark == self._mark else 0
 
     def find(self, mark: bytes) -> int:
-        """Where the mark stands, counted from the start; -1 if it does not."""
-        at = self.data.find(mark, self.start, self.end)
-        return at if at < 0 else at - self.start
+        """Where the mark stands, counted from the start; -1 if it does not.
+
+        What was searched in vain is not searched again: a message that comes byte by byte would cost the
+        square of its length.
+        """
+        at = self.data.find(mark, self.start + self.searched(mark), self.end)
+        if at < 0:
+            self._mark, self._searched = mark, max(0, len(self) - len(mark) + 1)
+            return -1
+        return at - self.start
 
     def peek(self, count: int) -> bytes:
         """The first bytes, which stay."""
@@ -55,4 +66,5 @@
         """The first bytes, which go."""
         taken = self.peek(count)
         self.start += len(taken)
+        self.held, self._searched = None, 0
         return taken
--- a/barleywheel/net/hubs.py
+++ b/barleywheel/net/hubs.py
@@ -4,7 +4,6 @@
 
 import logging
 from collections import OrderedDict
-from typing import Any
 
 from barleywheel.core import runtime
 from barleywheel.core.deadlines import Deadlines
@@ -15,6 +14,7 @@
 from barleywheel.net import sockets
 from barleywheel.net.connection import Connection
 from barleywheel.wire import sip
+from barleywheel.wire.journal import Endpoint
 
 log = logging.getLogger(__name__)
 MOST = 4  # connections a hub
@@ -88,16 +88,16 @@
         self.connect_timeout_s = connect_timeout_us / 1e6
         self.hubs: dict[bytes, Hub] = {}
 
-    def update(self, endpoints: list[dict[str, Any]], whole: bool) -> None:
+    def update(self, endpoints: list[Endpoint], whole: bool) -> None:
         """Follow the hub list."""
         named = set()
         for endpoint in endpoints:
-            name = str(endpoint["name"]).encode()
+            name = endpoint.name.encode("utf-8", "surrogatepass")
             named.add(name)
-            if endpoint.get("status") == "Gone":
+            if endpoint.status == "Gone":
                 self._drop(name)
-            elif name not in self.hubs and endpoint.get("address") is not None:
-                self.hubs[name] = Hub(name, str(endpoint["address"]))
+            elif name not in self.hubs and endpoint.address is not None:
+                self.hubs[name] = Hub(name, endpoint.address)
                 if self.facade.cell(name) != self.facade.home and not self._elsewhere(name):
                     runtime.spawn(self._keep, self.hubs[name])
         if whole:
--- a/barleywheel/router.py
+++ b/barleywheel/router.py
@@ -49,7 +49,7 @@
     def start(self, conf: config.Config) -> None:
         """Listen and begin to serve; ConfigError where that can't be."""
         try:
-            self.journal.apply(conf.known)
+            self.journal.apply(*conf.known)
             self.front.listen(conf.listen)
             if self.m3ua is not None:
                 self.m3ua.listen()
--- a/barleywheel/snmp/agent.py
+++ b/barleywheel/snmp/agent.py
@@ -26,6 +26,7 @@
 SYSTEM: Oid = (1, 3, 6, 1, 2, 1, 1)
 ROOT: Oid = (1, 3, 6, 1, 4, 1, 8072, 9999, 9999, 3868)
 CALLS, REJECTED, OUTCOMES, HUBS, LINKS = (ROOT + (number,) for number in (1, 2, 3, 4, 5))
+MOST_DATAGRAM = 4096  # bytes of a question; BER of 64 KiB would take the processor for a second
 MOST_VARBINDS = 64  # more than this of a GETBULK would not fit a datagram
 LINK_STATES = {"down": 1, "inactive": 2, "active": 3}
 
@@ -87,6 +88,9 @@
 
     def answer(self, data: bytes) -> bytes | None:
         """The answer to a message; None where there is none to give."""
+        if len(data) > MOST_DATAGRAM:
+            log.warning("SNMP message dropped: %d bytes", len(data))
+            return None
         try:
             message, _ = decoder.decode(data, asn1Spec=v2c.Message())
         except (PyAsn1Error, ProtocolError):
--- a/barleywheel/standins/exchange.py
+++ b/barleywheel/standins/exchange.py
@@ -65,6 +65,7 @@
         self.wire: Line | None = None
         self.heard = heard
         self.active = False
+        self.ended: Callable[[], object] = lambda: None  # told when the router ends the link
         self.answers, self.completes = True, True
         self.beats = True
         self._in = b""
@@ -92,6 +93,7 @@
     def closed(self, reset: bool) -> None:
         """See ``virtual.network.Party``."""
         self.wire, self.active = None, False
+        self.ended()
 
     def received(self, data: bytes) -> None:
         """See ``virtual.network.Party``."""
--- a/barleywheel/virtual/network.py
+++ b/barleywheel/virtual/network.py
@@ -37,7 +37,7 @@
         self.open = True
         self.stream = Stream(network.runtime, self)
         self.reading, self.silent = True, False
-        self._held = bytearray()
+        self._unread = 0
 
     def write(self, data: bytes) -> bool:
         """Send to the parts; False where the stream has ended."""
@@ -57,24 +57,23 @@
     def read_on(self, reading: bool) -> None:
         """Stop reading, or go on."""
         self.reading = reading
-        if reading and self._held:
-            data, self._held = bytes(self._held), bytearray()
-            self.take(data)
+        if reading:
+            self._unread = 0
             self.stream.may_write()
 
     # From the stream.
 
     def room(self) -> int:
         """How much the parts may write now."""
-        return WINDOW - len(self._held)
+        return WINDOW - self._unread
 
     def take(self, data: bytes) -> None:
         """The parts wrote this."""
         if self.silent:
             return
         if not self.reading:
-            self._held += data
-        elif self.open and self.party is not None:
+            self._unread += len(data)  # it has left the parts: whoever watches is told
+        if self.open and self.party is not None:
             try:
                 self.party.received(data)
             except Broken as error:  # the model's complaint, not the writer's fault to handle
--- a/barleywheel/virtual/runtime.py
+++ b/barleywheel/virtual/runtime.py
@@ -10,7 +10,7 @@
 
 import greenlet
 
-MOST_TURNS = 200_000  # of greenlets within one instant: more of them is a loop that never waits
+MOST_TURNS = 20_000  # of greenlets within one instant: more of them is a loop that never waits
 
 
 class Stuck(Exception):
--- a/barleywheel/virtual/world.py
+++ b/barleywheel/virtual/world.py
@@ -17,6 +17,7 @@
 from barleywheel.standins import caller, exchange, hub, journal
 from barleywheel.virtual.network import Party, VirtualNetwork, Wire
 from barleywheel.virtual.runtime import VirtualRuntime
+from barleywheel.wire import journal as journal_wire
 
 START_US = 1_700_000_000_000_000
 LISTEN: Address = ("10.0.0.4", 3868)
@@ -111,7 +112,7 @@
         seed,
         conf.sockets,
         conf.connect_timeout_us,
-        known,
+        journal_wire.events(known),
         conf.settings,
         conf.names,
     )
--- a/barleywheel/wire/sip.py
+++ b/barleywheel/wire/sip.py
@@ -9,13 +9,15 @@
 from barleywheel.wire import Malformed
 
 LIMIT = 16 * 1024
+MOST_CSEQ = 1 << 31  # RFC 3261, 8.1.1.5
 STATUS = re.compile(r"SIP/2\.0 ([1-6]\d\d)(?: .*)?\Z")
 REQUEST = re.compile(r"([A-Z]+) (\S+) SIP/2\.0\Z")
 START = re.compile(rb"SIP/2\.0 [1-6]\d\d |[A-Z]{3,16} [^\s]{1,200} SIP/2\.0\r\n")
 INSIDE = re.compile(r"SIP/2\.0 [1-6]\d\d |[A-Z] \S+ SIP/2\.0\Z")
 OPENING = re.compile(rb"[A-Z]{1,16}(?: .*|/.*)?\Z", re.S)  # how a message may begin, cut off anywhere
 NOISE = re.compile(r"[\x00-\x08\x0b-\x1f\x7f\ufffd]")
-CAUSE = re.compile(r"cause\s*=\s*(\d+)", re.I)
+CAUSE = re.compile(r"cause\s*=\s*(\d{1,3})(?!\d)", re.I)
+NO_CAUSE, NORMAL_UNSPECIFIED = 16, 31
 COMPACT = {"i": "call-id", "l": "content-length", "v": "via", "s": "subject"}
 
 
@@ -37,13 +39,18 @@
     def cseq(self) -> tuple[int, str]:
         """Number and method; a missing or strange one is (0, '')."""
         number, _, method = self.headers.get("cseq", "").partition(" ")
-        return (int(number) if number.isascii() and number.isdigit() else 0), method.strip()
+        if not (number.isascii() and number.isdigit() and len(number) <= 10 and int(number) < MOST_CSEQ):
+            return 0, ""
+        return int(number), method.strip()
 
     @property
     def cause(self) -> int:
-        """The Q.850 cause of the Reason header; 16 without one."""
-        found = CAUSE.search(self.headers.get("reason", ""))
-        return int(found[1]) if found else 16
+        """The Q.850 cause of the Reason header; 16 without one, 31 where it is none of Q.850's."""
+        reason = self.headers.get("reason")
+        if reason is None:
+            return NO_CAUSE
+        found = CAUSE.search(reason)
+        return int(found[1]) if found and 0 < int(found[1]) < 128 else NORMAL_UNSPECIFIED
 
     @property
     def load(self) -> dict[str, float]:
@@ -62,18 +69,21 @@
     """Take the next message off the buffer; None until it is whole."""
     while buffer.peek(2) == b"\r\n":  # keep-alive between messages
         buffer.take(2)
-    end = buffer.find(b"\r\n\r\n")
-    if end > LIMIT or end < 0 and len(buffer) > LIMIT:
-        raise Malformed("message over 16 KiB")
-    if end < 0:
-        return None
-    message = head(buffer.peek(end))
-    length = message.headers.get("content-length", "")
-    if not (length.isascii() and length.isdigit() and len(length) < 10):
-        raise Malformed("bad Content-Length")
-    size = end + 4 + int(length)
-    if size > LIMIT:
-        raise Malformed("message over 16 KiB")
+    if buffer.held is None:  # the head is read once, however slowly the body comes
+        end = buffer.find(b"\r\n\r\n")
+        if end > LIMIT or end < 0 and len(buffer) > LIMIT:
+            raise Malformed("message over 16 KiB")
+        if end < 0:
+            return None
+        message = head(buffer.peek(end))
+        length = message.headers.get("content-length", "")
+        if not (length.isascii() and length.isdigit() and len(length) < 10):
+            raise Malformed("bad Content-Length")
+        size = end + 4 + int(length)
+        if size > LIMIT:
+            raise Malformed("message over 16 KiB")
+        buffer.held = end, size, message
+    end, size, message = buffer.held
     if len(buffer) < size:
         return None
     message.body = buffer.take(size)[end + 4 :]
