Plant faults of one line, and take a late RLC as the end of a blocked circuit

Need: a fuzzer that finds nothing proves nothing until it is seen to find what is there. Changed: fuzz/plants.py and 'barleywheel fuzz plant' copy the program, plant one of twenty faults and run its target from an empty corpus.

--- a/barleywheel/cli/fuzz.py
+++ b/barleywheel/cli/fuzz.py
@@ -15,7 +15,7 @@
 
 import typer
 
-from barleywheel.fuzz import corpus, engine
+from barleywheel.fuzz import corpus, engine, plants
 from barleywheel.fuzz.targets import TARGETS, Target
 
 app = typer.Typer(no_args_is_help=True, help="Fuzz the parsers and the state machines.")
@@ -255,3 +255,26 @@
                 typer.echo(f"{name}: {breaches[0].rule}: {breaches[0].seen}\n{corpus.readable(one)}")
     typer.echo(f"{count} inputs, {broken} break a rule")
     raise typer.Exit(1 if broken else 0)
+
+
+@app.command()
+def plant(
+    name: Annotated[list[str] | None, typer.Option(help="A plant; several may be given.")] = None,
+    seconds: Annotated[float, typer.Option(min=1, help="How long each is looked for.")] = 60.0,
+    seed: Annotated[int, typer.Option(help="Of all choices.")] = 1,
+    jobs: Annotated[int, typer.Option(min=1, help="Processes at a time.")] = 4,
+) -> None:
+    """Plant faults of one line in copies of the program; 0 when all are found, 1 when one is not."""
+    known = {one.name: one for one in plants.PLANTS}
+    for word in name or []:
+        if word not in known:
+            raise bad(f"no plant {word!r}; there are {', '.join(known)}")
+    missed = 0
+    try:
+        for done in plants.all_sought([known[word] for word in name or known], seconds, seed, jobs):
+            missed += not done.rule
+            found = f"{done.seconds:5.1f} s, {done.inputs} inputs: {done.rule}" if done.rule else "NOT FOUND"
+            typer.echo(f"{done.plant.name:42} {done.plant.target:10} {found}")
+    except plants.Stale as error:
+        raise bad(str(error)) from error
+    raise typer.Exit(1 if missed else 0)
--- a/barleywheel/fronts/m3ua.py
+++ b/barleywheel/fronts/m3ua.py
@@ -477,7 +477,8 @@
             case isup.Type.REL | isup.Type.RSC:
                 self._rel(peer, circuit, heard)
             case isup.Type.RLC:
-                if circuit.state is State.RELEASING and not circuit.queued:
+                # One that came too late proves as well that the peer holds the circuit idle.
+                if circuit.state in (State.RELEASING, State.BLOCKED) and not circuit.queued:
                     peer.free(circuit)
             case isup.Type.ACM:
                 pass  # progress
--- a/barleywheel/fuzz/targets.py
+++ b/barleywheel/fuzz/targets.py
@@ -34,6 +34,7 @@
     make: Callable[[Source], list[list[Any]]] | None = None
     seeds: tuple[bytes, ...] = ()
     words: tuple[bytes, ...] = ()
+    glance: Callable[[Any], Result] | None = None  # a shorter check, for most inputs of a run
 
     def check(self, found: Input) -> Result:
         """Run one input; what raises in the harness itself is a finding as well."""
@@ -155,6 +156,11 @@
     return [], {"answered" if answer else "dropped": 1}
 
 
+def glance(steps: list[list[Any]]) -> Result:
+    """A script without the long spell behind it."""
+    return scripts.play(steps, thorough=False)
+
+
 def circuits(source: Source) -> list[list[Any]]:
     """Scripts of the exchange's link and circuits, with a few calls towards it."""
     steps: list[list[Any]] = [["link", "up"]]
@@ -385,12 +391,13 @@
             ),
         ),
         Target("module", "the decision module, in any order of legal events", module.play, module.make),
-        Target("circuits", "one exchange's link and circuits", scripts.play, circuits),
+        Target("circuits", "one exchange's link and circuits", scripts.play, circuits, glance=glance),
         Target(
             "router",
             "the whole router: callers, hubs, journal, exchange, agent, signals",
             scripts.play,
             scripts.make,
+            glance=glance,
         ),
     )
 }
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -13,6 +13,7 @@
 from barleywheel.fronts.platform import Caller
 from barleywheel.fuzz import corpus
 from barleywheel.fuzz.engine import Fuzzing, breaks, smallest
+from barleywheel.fuzz.plants import PACKAGE, PLANTS
 from barleywheel.fuzz.scripts import Play
 from barleywheel.fuzz.source import FromBytes, Seeded
 from barleywheel.fuzz.targets import TARGETS
@@ -119,3 +120,14 @@
     path.write_text(text)
     done = fuzz("replay", str(path))
     assert done.returncode == 2 and done.stderr.startswith("barleywheel: ") and done.stderr.count("\n") == 1
+
+
+def test_a_plant_is_found_and_an_unknown_one_is_bad_usage() -> None:
+    done = fuzz("plant", "--name", "padding forgotten", "--seconds", "20")
+    assert done.returncode == 0 and "NOT FOUND" not in done.stdout, done.stdout + done.stderr
+    assert fuzz("plant", "--name", "nothing").returncode == 2
+
+
+def test_every_plant_still_fits_the_program() -> None:
+    for plant in PLANTS:
+        assert (PACKAGE / plant.file).read_text().count(plant.old) == 1, plant.name
