Take out of the fuzzer what nothing read

Need: read once more, the change carried state that was written and never used: bytes and connections counted by the network in memory, the list of a world's trunks, the features of a job, and the ends of http inputs, which were gathered and not compared. The router is untouched.

--- a/barleywheel/cli/fuzz.py
+++ b/barleywheel/cli/fuzz.py
@@ -67,7 +67,6 @@
     reached: int = 0
     until: float = 0.0
     kept: list[dict[str, Any]] = field(default_factory=list)
-    features: set[str] = field(default_factory=set)
 
     def start(self, seconds: float, inputs: int, folder: Path, work: Path) -> None:
         """Start the process."""
@@ -198,7 +197,7 @@
         if "finding" in news:
             self._finding(job, news["finding"], news["seen"], news)
         elif "kept" in news:
-            job.kept, job.features = news["kept"], set(news["features"])
+            job.kept = news["kept"]
         elif "inputs" in news:
             job.inputs, job.seconds, job.reached = news["inputs"], news["seconds"], news["reached"]
 
--- a/barleywheel/fuzz/targets.py
+++ b/barleywheel/fuzz/targets.py
@@ -82,7 +82,7 @@
 
 def check_http(data: bytes) -> Result:
     """The journal's answers: any bytes are events, or an error after which the poll is opened anew."""
-    conf, ends = world.parsed(), []
+    conf = world.parsed()
     reached: dict[str, int] = {}
     for pieces in ([data], codecs.split(data)):
         facade = Facade(conf.settings, conf.names, 1, Deadlines())
@@ -94,7 +94,6 @@
             end = type(error).__name__
         except Exception as error:
             return [Breach("parser raised", f"{type(error).__name__}: {str(error)[:200]}")], {}
-        ends.append((end.split(":")[0], journal.pos, sorted(facade.entries)))
         reached[end] = 1
     return [], reached
 
--- a/barleywheel/fuzz/worker.py
+++ b/barleywheel/fuzz/worker.py
@@ -47,8 +47,7 @@
     done = fuzzing.run(seconds, inputs, tell)
     say(
         target=target.name,
-        kept=[{"note": one.note, **corpus.to_json(one.input)} for one in done.kept],
-        features=sorted(done.features),
+        kept=[{"note": one.note, **corpus.to_json(one.input)} for one in done.kept]
     )
 
 
--- a/barleywheel/virtual/network.py
+++ b/barleywheel/virtual/network.py
@@ -92,7 +92,6 @@
 
     def __init__(self, runtime: VirtualRuntime, wire: Wire) -> None:
         self.runtime, self.wire = runtime, wire
-        self.delivered = 0  # bytes that have come, for what a model wants to know
         self._come: deque[bytes] = deque()
         self._eof = self._reset = self._closed = False
         self._timeout: float | None = None
@@ -150,7 +149,6 @@
         buffer[:count] = data[:count]
         if count < len(data):
             self._come.appendleft(data[count:])
-        self.delivered += count
         return count
 
     def send(self, data: bytes | bytearray, flags: int = 0, timeout: float | None = None) -> int:
@@ -279,7 +277,6 @@
         self.cut_off: set[Address] = set()
         self.listeners: dict[Address, VirtualListener] = {}
         self.bound: dict[Address, VirtualDatagrams] = {}
-        self.connected = 0
         self.complaints: list[str] = []  # what models could not read
 
     def connect(self, address: Address, timeout_s: float) -> Stream:
@@ -293,7 +290,6 @@
         party = host(wire) if host is not None and address not in self.cut_off else None
         if party is None:
             raise ConnectionRefusedError(errno.ECONNREFUSED, "refused")
-        self.connected += 1
         wire.party = party
         return wire.stream
 
--- a/barleywheel/virtual/world.py
+++ b/barleywheel/virtual/world.py
@@ -4,7 +4,7 @@
 
 import json
 import logging
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from contextlib import ExitStack
 from functools import cache
 from typing import Any
@@ -252,8 +252,3 @@
             self.left = True
 
         self.runtime.spawn(leaving)
-
-    def trunks(self) -> Iterator[hub.Trunk]:
-        """Every open connection to a hub."""
-        for one in self.hubs.values():
-            yield from one.conns
