--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,9 +9,8 @@
 
 from standins import ROOT, TROUBLE, Caller, CannotRun, Hub, Journal, Record, Router, new_id, run_case
 
-BAD_CLIENTS = int(os.environ.get("BAD_CLIENTS", "2"))
-REQUESTS_AT_ONCE = 300  # of each
-DESCRIPTION_BYTES = int(os.environ.get("DESCRIPTION_BYTES", "300"))  # of the bad clients' requests
+REQUESTS_AT_ONCE = (200, 400, 900)  # of each of the bad clients
+DESCRIPTION_BYTES = int(os.environ.get("DESCRIPTION_BYTES", "150"))  # of the bad clients' requests
 BAD_CLIENT_S = 14
 LEFT_S = 3.0  # a third of the class's give-up time
 LATE_S = 0.5  # an answer up to half a second after its time only earns nothing; a later one is lost
@@ -25,7 +24,7 @@
     sent_at = {}
     for _ in range(SET_UPS):
         ref = new_id()
-        caller.set_up(ref, 1, left_ms=int(LEFT_S * 1000))
+        caller.set_up(ref, left_ms=int(LEFT_S * 1000))
         sent_at[ref] = time.monotonic()
         time.sleep(GAP_S)
     lost = []
@@ -48,17 +47,17 @@
     caller = Caller(record, "caller", router.address)
     for _ in range(3):
         ref = new_id()
-        caller.set_up(ref, 1)
+        caller.set_up(ref)
         if not caller.wait(("up",), ref, 2):
             raise CannotRun("a set-up before the trouble was not established")
         caller.send("down", ref, c=16)
     bad_clients: list[subprocess.Popen[str]] = []
     try:
-        for _ in range(BAD_CLIENTS if TROUBLE else 0):
-            arguments = [*router.address.split(":"), REQUESTS_AT_ONCE, DESCRIPTION_BYTES, BAD_CLIENT_S]
+        for count in REQUESTS_AT_ONCE if TROUBLE else ():
+            arguments = [*router.address.split(":"), count, DESCRIPTION_BYTES, BAD_CLIENT_S]
             command = [sys.executable, str(ROOT / "review" / "bad_client.py"), *map(str, arguments)]
             bad_clients.append(subprocess.Popen(command, stdout=subprocess.PIPE, text=True))
-            record.write("bad client", f"started: {REQUESTS_AT_ONCE} requests at once, for {BAD_CLIENT_S} s")
+            record.write("bad client", f"started: {count} requests at once, for {BAD_CLIENT_S} s")
         lost = lost_set_ups(record, caller)
         for bad_client in bad_clients:
             answers = bad_client.communicate(timeout=30)[0].strip()
--- a/review/bad_client.py
+++ b/review/bad_client.py
@@ -12,6 +12,8 @@
 import time
 from contextlib import suppress
 
+REF = slice(19, 35)  # of the id in {"t":"down","ref":"
+
 
 def main() -> None:
     """Send and read until the time is over or the connection ends."""
@@ -30,7 +32,7 @@
         while time.monotonic() < stop and (data := sock.recv(1 << 18)):
             *lines, rest = (rest + data).split(b"\n")
             answers += len(lines)
-            sock.sendall(b"".join([requests[json.loads(line)["ref"]] for line in lines]))
+            sock.sendall(b"".join([requests[line[REF].decode()] for line in lines]))
     print(answers)
 
 
