--- a/review/3/case.py
+++ b/review/3/case.py
@@ -26,7 +26,7 @@
         """Make calls to the exchange; each is released by the caller after a second."""
         while time.monotonic() < end:
             ref = new_id()
-            caller.set_up(ref, 1)
+            caller.set_up(ref)
             answer = caller.wait(("up", "down"), ref, 5)
             if answer is None:
                 raise CannotRun(f"no answer to {ref}")
--- a/review/standins.py
+++ b/review/standins.py
@@ -393,24 +393,26 @@
         self.record.write(self.name, "connection ended")
         self.closed.set()
 
-    def send_line(self, line: bytes) -> None:
-        """Send a line as it is."""
-        self.record.write(self.name, f"sent {line.decode('utf-8', 'replace')}")
-        self.sock.sendall(line + b"\n")
+    def send_lines(self, *lines: bytes) -> None:
+        """Send lines as they are, in one write."""
+        for line in lines:
+            self.record.write(self.name, f"sent {line[:400].decode('utf-8', 'replace')!r}")
+        self.sock.sendall(b"".join(line + b"\n" for line in lines))
 
     def send(self, kind: str, ref: str, **members: Any) -> None:
         """Send a message."""
-        self.send_line(json.dumps({"t": kind, "ref": ref, "f": {}} | members).encode())
+        self.send_lines(json.dumps({"t": kind, "ref": ref, "f": {}} | members).encode())
 
-    def set_up(self, ref: str, cell: int, left_ms: int = 3000, class_name: str = "package-build") -> None:
-        """Send a set-up for the exchange of that number."""
+    def set_up(self, *refs: str, cell: int = 1, left_ms: int = 3000) -> None:
+        """Send set-ups for the exchange of that number, in one write."""
         fields = {
-            "class": class_name,
+            "class": "package-build",
             "left": str(left_ms),
             "key": NUMBER,
             "extras": f"dest:{cell};width:1;via:-1",
         }
-        self.send("new", ref, f=fields, d=OFFER.decode())
+        members = {"f": fields, "d": OFFER.decode()}
+        self.send_lines(*(json.dumps({"t": "new", "ref": ref} | members).encode() for ref in refs))
 
     def find(self, kinds: tuple[str, ...], ref: str) -> dict[str, Any] | None:
         """Return the first message of one of these types about a call."""
