Review stand-ins: loopback addresses in the text of the call descriptions too

Cause: the issue asks that every address in a case is a loopback address; the descriptions of calls named two others, to which nothing connects.

--- a/review/standins.py
+++ b/review/standins.py
@@ -29,7 +29,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 MAX_RUN_S = 110
 NUMBER = "7f3a9c21e0b4d655"
-OFFER = b"9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\n"
+OFFER = b"9d41c07a5be2f318\r\nc=IN IP4 127.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\n"
 SETTINGS: dict[str, Any] = {
     "balancers": 3,
     "classes": [
@@ -238,7 +238,7 @@
 
     def description(self, ref: str) -> bytes:
         """Return the description that this hub gives for a call, of the form on the protocol page."""
-        return ref.encode() + b"\r\nc=IN IP4 10.4.8.1\r\nm=audio 31000 RTP/AVP 0 8 101\r\n"
+        return ref.encode() + b"\r\nc=IN IP4 127.4.8.1\r\nm=audio 31000 RTP/AVP 0 8 101\r\n"
 
     def answer(self, message: SipMessage, status: int, body: bytes = b"", length: int | None = None) -> None:
         """Answer a request in one write.
