Forget a connection whatever ends it, so that dead ones take no place

Cause: PlatformFront._serve removed the connection's entry after its loop, not in a finally. Two inputs raised what it did not foresee: blank lines (RecursionError in jsonlines.parse_next) and a test whose id is a lone surrogate (UnicodeEncodeError in jsonlines.encode). The log of the case shows 128 tracebacks out of _serve, then "too many callers" for each connection.

Change: the entry goes in a finally; an unforeseen exception in a handler or a codec is logged and ends that connection; blank lines are skipped in one step, up to 1 KiB of them, and an id that can't be written is malformed.

Related paths: hubs' connections (dead ones took the hub's four, set-ups on them waited for their time limit), M3UA links, a call that an exception ends (its attempt went on at the hub and its later release would have been a second answer), the SNMP agent (an error of its socket ended it).

--- a/barleywheel/core/call_manager.py
+++ b/barleywheel/core/call_manager.py
@@ -95,8 +95,8 @@
         except Exception:
             # An error in one call must not affect the others, and its caller still gets an answer.
             log.exception("call failed with an unexpected exception: ref=%s", request.ref)
-            if self.open_calls.pop(request.ref, None) is call and not call.abandoned:
-                request.origin.reject(request, Rejection(CAUSE_TEMPORARY_FAILURE))
+            if self.open_calls.pop(request.ref, None) is call:
+                self._clean_up_failed_call(call)
         finally:
             if self.open_calls.get(request.ref) is call:
                 del self.open_calls[request.ref]
@@ -133,6 +133,21 @@
             assert isinstance(decision, Rejection)
             self._reject(call, decision)
 
+    def _clean_up_failed_call(self, call: Call) -> None:
+        """End what a call has open elsewhere when an exception has ended it, and reject it."""
+        self.facade.forget(call)
+        self._remember_ended(call)
+        attempt = call.attempt
+        if attempt is not None:
+            carrier = self._carrier(attempt.hub)
+            if attempt.answered:
+                leg = Leg(call.request.ref, attempt.hub, carrier, call.request.origin, attempt.carrier_state)
+                carrier.release(leg, CAUSE_NORMAL_CLEARING)
+            elif attempt.finish(AttemptResult(AttemptStatus.CLOSED)):
+                carrier.cancel(attempt)
+        if not call.abandoned:
+            call.request.origin.reject(call.request, Rejection(CAUSE_TEMPORARY_FAILURE))
+
     def _remember_ended(self, call: Call) -> None:
         """Keep the id of a call that failed here: it may be established at a hub.
 
--- a/barleywheel/facade.py
+++ b/barleywheel/facade.py
@@ -164,6 +164,10 @@
         self._calls.pop(call.number, None)
         self._handle_event(api.CallerGone(call.number))
 
+    def forget(self, call: Call) -> None:
+        """Drop a call that an exception has ended; the decision module is not told."""
+        self._calls.pop(call.number, None)
+
     def fire_timer(self, token: int) -> None:
         """Report that a timer of the decision module is due; close the calls that it rejects in response."""
         self._handle_event(api.TimerDue(token))
--- a/barleywheel/fronts/m3ua.py
+++ b/barleywheel/fronts/m3ua.py
@@ -325,14 +325,16 @@
         link.last_received_us = now_us()
         self.deadlines.schedule(now_us() + self.conf.up_ms * 1000, partial(self._close_if_asp_down, link))
         self._send_beat(link)
-        for message in link.messages(m3ua.parse_next):
-            link.last_received_us = now_us()
-            try:
-                self._handle_message(link, message)
-            except Exception:  # a message of one peer must not stop the service of the others
-                log.exception("error while handling an M3UA message: peer=%s", link.peer)
-        self.links.discard(link)
-        self._lower_asp_state(link, AspState.DOWN)
+        try:
+            for message in link.messages(m3ua.parse_next):
+                link.last_received_us = now_us()
+                try:
+                    self._handle_message(link, message)
+                except Exception:  # a message of one peer must not stop the service of the others
+                    log.exception("error while handling an M3UA message: peer=%s", link.peer)
+        finally:
+            self.links.discard(link)
+            self._lower_asp_state(link, AspState.DOWN)
 
     def _close_if_asp_down(self, link: Link) -> None:
         if link.open and link.asp_state is AspState.DOWN:
--- a/barleywheel/fronts/platform.py
+++ b/barleywheel/fronts/platform.py
@@ -143,18 +143,29 @@
         return True
 
     def _serve(self, caller: Caller) -> None:
-        for message in caller.conn.messages(jsonlines.parse_next):
-            caller.has_sent_message = True
-            if caller in self.callers:
-                self.callers.move_to_end(caller)
-            try:
-                self._handle_message(caller, message)
-            except Malformed as error:
-                log.warning("connection closed, malformed input: peer=%s %s", caller.conn.peer, error)
-                caller.conn.close()
-        self.callers.pop(caller, None)
-        for ref in list(caller.refs):
-            self.call_manager.abandon(ref)
+        try:
+            for message in caller.conn.messages(jsonlines.parse_next):
+                caller.has_sent_message = True
+                if caller in self.callers:
+                    self.callers.move_to_end(caller)
+                self._handle_message_or_close(caller, message)
+        finally:
+            # However the connection ends: an entry left behind would take the place of a caller for good.
+            self.callers.pop(caller, None)
+            for ref in list(caller.refs):
+                self.call_manager.abandon(ref)
+
+    def _handle_message_or_close(self, caller: Caller, message: dict[str, Any]) -> None:
+        try:
+            self._handle_message(caller, message)
+        except Malformed as error:
+            log.warning("connection closed, malformed input: peer=%s %s", caller.conn.peer, error)
+            caller.conn.close()
+        except (
+            Exception
+        ):  # a defect; it must not end the greenlet, which has the connection's entry to remove
+            log.exception("connection closed, failed to handle a message: peer=%s", caller.conn.peer)
+            caller.conn.close()
 
     def _handle_message(self, caller: Caller, message: dict[str, Any]) -> None:
         kind, ref = message["t"], message.get("ref", "")
--- a/barleywheel/net/buffer.py
+++ b/barleywheel/net/buffer.py
@@ -16,6 +16,7 @@
         self.data = bytearray(INITIAL_BUFFER_BYTES)
         self.start = self.end = 0
         self.parsed_head: Any = None  # a codec's parsed message head; dropped when bytes are taken
+        self.skipped_bytes = 0  # by skip_leading since bytes were last taken
         self._searched_mark, self._searched_bytes = b"", 0
 
     def __len__(self) -> int:
@@ -58,6 +59,14 @@
             return -1
         return position - self.start
 
+    def skip_leading(self, characters: bytes) -> None:
+        """Consume the bytes at the start that are among the characters, and count them."""
+        if self.start < self.end and self.data[self.start] in characters:
+            count = len(self) - len(self.peek(len(self)).lstrip(characters))
+            self.start += count
+            self.skipped_bytes += count
+            self._searched_bytes = 0
+
     def peek(self, count: int) -> bytes:
         """Return the first bytes without consuming them."""
         return bytes(self.data[self.start : min(self.start + count, self.end)])
@@ -66,5 +75,5 @@
         """Return the first bytes and consume them."""
         taken = self.peek(count)
         self.start += len(taken)
-        self.parsed_head, self._searched_bytes = None, 0
+        self.parsed_head, self.skipped_bytes, self._searched_bytes = None, 0, 0
         return taken
--- a/barleywheel/net/connection.py
+++ b/barleywheel/net/connection.py
@@ -109,6 +109,8 @@
             log.warning("connection closed, malformed input: peer=%s %s", self.peer, error)
         except OSError as error:
             self.reset = self.reset or error.errno == errno.ECONNRESET
+        except Exception:  # a defect of the codec; what one peer sends must end no more than its connection
+            log.exception("connection closed, input could not be parsed: peer=%s", self.peer)
         finally:
             self.close(self.reset)
 
--- a/barleywheel/net/hubs.py
+++ b/barleywheel/net/hubs.py
@@ -235,13 +235,19 @@
         return conn
 
     def _read(self, hub: Hub, conn: HubConnection) -> None:
-        for message in conn.messages(sip.parse_next):
-            conn.last_received_us = hub.last_received_us = now_us()
-            conn.suspect = False
-            try:
-                self._handle_message(hub, conn, message)
-            except Exception:  # one bad message must not end the process or the connection's other calls
-                log.exception("failed to handle a message from a hub: hub=%s", conn.peer)
+        try:
+            for message in conn.messages(sip.parse_next):
+                conn.last_received_us = hub.last_received_us = now_us()
+                conn.suspect = False
+                try:
+                    self._handle_message(hub, conn, message)
+                except Exception:  # one bad message must not end the connection's other calls
+                    log.exception("failed to handle a message from a hub: hub=%s", conn.peer)
+        finally:
+            self._remove_connection(hub, conn)
+
+    def _remove_connection(self, hub: Hub, conn: HubConnection) -> None:
+        """Forget a connection that has ended, and end its open set-ups."""
         hub.connections.remove(conn)
         if conn.setups or conn.reset:
             log.info("hub connection lost: hub=%s reset=%s open=%d", conn.peer, conn.reset, len(conn.setups))
--- a/barleywheel/snmp/agent.py
+++ b/barleywheel/snmp/agent.py
@@ -31,6 +31,8 @@
 OUTCOMES_OID: Oid = ROUTER_OID + (3,)
 HUBS_OID: Oid = ROUTER_OID + (4,)
 LINKS_OID: Oid = ROUTER_OID + (5,)
+MAX_DATAGRAM_BYTES = 65535
+RECEIVE_RETRY_DELAY_S = 0.05
 MAX_REQUEST_BYTES = 4096  # decoding 64 KiB of BER would take about a second of processor time
 MAX_BULK_VARBINDS = 64  # a longer GETBULK response would not fit into a datagram
 LINK_STATE_NUMBERS = {"down": 1, "inactive": 2, "active": 3}
@@ -48,7 +50,12 @@
     def run(self) -> None:
         """Answer requests until the process ends."""
         while True:
-            data, peer = self.sock.recvfrom(65535)
+            try:
+                data, peer = self.sock.recvfrom(MAX_DATAGRAM_BYTES)
+            except OSError as error:
+                log.warning("SNMP receive failed: %s", error)
+                runtime.sleep(RECEIVE_RETRY_DELAY_S)
+                continue
             try:
                 response = self.answer(data)
                 if response is not None:
--- a/barleywheel/wire/jsonlines.py
+++ b/barleywheel/wire/jsonlines.py
@@ -9,18 +9,21 @@
 from barleywheel.wire import Malformed
 
 MAX_LINE_BYTES = 16 * 1024
+BLANK_CHARACTERS = b" \t\r\n"  # blank lines between messages are skipped
+MAX_BLANK_BYTES = 1024  # more of them in a row are no line ends or keep-alives but junk
 
 
 def parse_next(buffer: Buffer) -> dict[str, Any] | None:
     """Take the next message from the buffer; None while it is incomplete."""
+    buffer.skip_leading(BLANK_CHARACTERS)
+    if buffer.skipped_bytes > MAX_BLANK_BYTES:
+        raise Malformed("too many blank lines")
     end = buffer.find(b"\n")
     if end > MAX_LINE_BYTES or end < 0 and len(buffer) > MAX_LINE_BYTES:
         raise Malformed("line over 16 KiB")
     if end < 0:
         return None
     line = buffer.take(end + 1)
-    if not line.strip():
-        return parse_next(buffer)
     try:
         # surrogateescape passes the bytes of a description through unchanged, UTF-8 or not.
         message = json.loads(line.decode("utf-8", "surrogateescape"))
@@ -28,13 +31,24 @@
         raise Malformed(f"invalid JSON: {error}") from error
     if not isinstance(message, dict) or not isinstance(message.get("t"), str):
         raise Malformed("not an object with a message type")
-    if not isinstance(message.get("ref", ""), str) or not isinstance(message.get("f") or {}, dict):
-        raise Malformed("id or fields of the wrong type")
+    if not _is_encodable_text(message.get("ref", "")) or not isinstance(message.get("f") or {}, dict):
+        raise Malformed("invalid id, or fields of the wrong type")
     if not isinstance(message.get("d", ""), str):
         raise Malformed("description of the wrong type")
     return message
 
 
+def _is_encodable_text(value: object) -> bool:
+    """Whether this is a string that ``encode`` can write; a JSON escape may denote a lone surrogate."""
+    if not isinstance(value, str):
+        return False
+    try:
+        value.encode("utf-8", "surrogateescape")
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def encode(
     kind: str,
     ref: str,
--- a/tests/test_flooding_peers.py
+++ b/tests/test_flooding_peers.py
@@ -132,7 +132,7 @@
     def _count_read(self) -> None:
         self.reads += 1
         if self.reads > MAX_READS:
-            raise OSError("end of the test")
+            raise gevent.GreenletExit
 
     def recv_into(self, buffer: memoryview) -> int:
         self._count_read()
@@ -191,14 +191,12 @@
 def answer_datagrams(source: EndlessSource) -> None:
     agent = Agent.__new__(Agent)
     agent.sock, agent.community = cast(sockets.DatagramSocket, source), b"public"
-    with suppress(OSError):
-        agent.run()
+    agent.run()
 
 
 def read_journal_response(source: EndlessSource) -> None:
     client = JournalClient("127.0.0.1:1", cast(Any, SimpleNamespace()), cast(Any, SimpleNamespace()))
-    with suppress(OSError):
-        client._poll(cast(sockets.Socket, source), Buffer())
+    client._poll(cast(sockets.Socket, source), Buffer())
 
 
 @pytest.mark.parametrize(
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -10,11 +10,16 @@
 import sys
 import time
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
+import gevent.socket
 import pytest
 
 from barleywheel import config
+from barleywheel.core.deadlines import Deadlines
+from barleywheel.fronts.platform import Caller, PlatformFront
+from barleywheel.net import sockets
+from barleywheel.net.connection import Connection
 from barleywheel.router import Router
 from tests.network_harness import (
     DESCRIPTION,
@@ -111,7 +116,25 @@
         harness.process.send_signal(signal.SIGCONT)
         for at, caller in enumerate(callers[:12]):
             assert caller.inbox.wait_and_pop(lambda m: m["ref"] == f"{at:016x}")["t"] in ("up", "down")  # noqa: B023
-        assert "idle connection closed" in harness.log_text()
+        harness.wait_for(lambda: "idle connection closed" in harness.log_text())
+
+
+def test_the_connection_closed_at_the_limit_is_one_without_unread_bytes() -> None:
+    """Of the idle ones; the others hold a set-up that their readers have not read yet."""
+    front = PlatformFront(cast(Any, None), Deadlines(), 3)
+    peers = []
+    for index in range(3):
+        ours, peer = gevent.socket.socketpair()
+        peers.append(peer)
+        conn = Connection(cast(sockets.Socket, ours), str(index), front.deadlines, 1_000_000)
+        front.callers[Caller(front, conn)] = None
+    for peer in (peers[0], peers[2]):
+        peer.send(b'{"t":"new"}')
+    assert front._close_idle_connection()
+    assert [caller.conn.peer for caller in front.callers] == ["0", "2"]
+    assert not front._close_idle_connection()
+    for caller in front.callers:
+        caller.conn.close()
 
 
 def test_shutdown_closes_idle_connections_and_answers_open_set_ups(tmp_path: Path) -> None:
