--- a/barleywheel/config.py
+++ b/barleywheel/config.py
@@ -13,7 +13,7 @@
 from barleywheel.benchlink import SettingsError, parse_settings
 from barleywheel.wire import Malformed
 from barleywheel.wire import journal as journal_wire
-from barleywheel.wire.journal import Event
+from barleywheel.wire.journal import Update
 
 MAX_CIC = 0xFFF
 MAX_POINT_CODE = 0xFFFFFF
@@ -35,7 +35,7 @@
     seed: int
     sockets: int
     connect_timeout_us: int
-    initial_hubs: tuple[int, list[Event]]
+    initial_hubs: Update
     settings: api.Settings
     names: dict[str, list[str]]
 
@@ -83,7 +83,7 @@
             seed=int(str(raw.get("seed", "0")), 16),
             sockets=int((raw.get("limits") or {}).get("sockets", 1024)),
             connect_timeout_us=int(limits.get("connect_timeout_us") or 500_000),
-            initial_hubs=journal_wire.parse_events(raw.get("known") or {}),
+            initial_hubs=journal_wire.parse_update(raw.get("known") or {}),
             settings=parsed,
             names={
                 "classes": classes,
--- a/barleywheel/facade.py
+++ b/barleywheel/facade.py
@@ -200,7 +200,7 @@
             "Gone": api.ExchangeState.GONE,
         }
         return api.ExchangeEntry(
-            exchange=endpoint.name.encode("utf-8", "surrogatepass"),
+            exchange=endpoint.name.encode(),
             cell=endpoint.cell,
             state=states.get(endpoint.status, api.ExchangeState.DRAINING),
             zone=self._index_by_name["zones"].get(endpoint.zone, 0),
--- a/barleywheel/fuzz/plants.py
+++ b/barleywheel/fuzz/plants.py
@@ -180,8 +180,8 @@
         "journal's reader ends",
         "router",
         "net/journal.py",
-        "POLL_ERRORS = (OSError, ValueError, Malformed, ",
-        "POLL_ERRORS = (OSError, ValueError, ",
+        "    Malformed,\n    UnusableResponseError,\n",
+        "    UnusableResponseError,\n",
     ),
     PlantedFault(
         "nesting unchecked",
--- a/barleywheel/fuzz/targets.py
+++ b/barleywheel/fuzz/targets.py
@@ -16,7 +16,7 @@
 from barleywheel.fuzz.shrink import Input
 from barleywheel.fuzz.source import Source
 from barleywheel.net.buffer import Buffer
-from barleywheel.net.journal import POLL_ERRORS, JournalClient
+from barleywheel.net.journal import POLL_ERRORS, JournalClient, Poller
 from barleywheel.standins import caller, exchange
 from barleywheel.virtual import environment
 from barleywheel.wire import sip
@@ -92,7 +92,7 @@
         facade = ControllerFacade(conf.settings, conf.names, 1, Deadlines())
         journal = JournalClient("10.2.0.1:1", facade, NullHubPool())  # type: ignore[arg-type]
         try:
-            reusable = journal._poll(PieceSocket(pieces), Buffer())  # type: ignore[arg-type]
+            reusable = Poller(journal).read_response(PieceSocket(pieces), Buffer())  # type: ignore[arg-type]
             feature = f"again: {reusable}" if len(pieces) < 2 else "again"
         except POLL_ERRORS as error:
             feature = type(error).__name__
--- a/barleywheel/net/hubs.py
+++ b/barleywheel/net/hubs.py
@@ -121,7 +121,7 @@
         """Apply a change of the hub list; hubs that a snapshot does not list are removed."""
         listed = set()
         for endpoint in endpoints:
-            name = endpoint.name.encode("utf-8", "surrogatepass")
+            name = endpoint.name.encode()
             listed.add(name)
             if endpoint.status == "Gone":
                 self._remove(name)
--- a/barleywheel/router.py
+++ b/barleywheel/router.py
@@ -58,7 +58,7 @@
     def start(self, conf: config.Config) -> None:
         """Listen and begin to serve; ConfigError if that is not possible."""
         try:
-            self.journal.apply(*conf.initial_hubs)
+            self.journal.apply(conf.initial_hubs)
             self.front.listen(conf.listen)
             if self.m3ua is not None:
                 self.m3ua.listen()
--- a/barleywheel/virtual/environment.py
+++ b/barleywheel/virtual/environment.py
@@ -121,7 +121,7 @@
         seed,
         conf.sockets,
         conf.connect_timeout_us,
-        journal_wire.parse_events(journal_events),
+        journal_wire.parse_update(journal_events),
         conf.settings,
         conf.names,
     )
--- a/barleywheel/wire/journal.py
+++ b/barleywheel/wire/journal.py
@@ -1,9 +1,13 @@
-"""Codec for the journal's responses, which list hubs. An invalid part rejects the whole response."""
+"""Codec for the journal's responses, which list hubs.
+
+The service repeats an event until its number has been taken, so an invalid part of an event must not hide the
+valid ones: it is left out and reported.
+"""
 
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from barleywheel.wire import Malformed
@@ -38,37 +42,65 @@
     endpoints: list[Endpoint]
 
 
-def parse_response(body: bytes) -> tuple[int, list[Event]]:
-    """Return the last event number and the events of a response; Malformed if any part is invalid."""
+@dataclass(slots=True)
+class Update:
+    """What a response tells: events in the order of their numbers, and what was invalid and left out."""
+
+    last: int = 0  # number of the last event that need not be asked for again
+    events: list[Event] = field(default_factory=list)
+    errors: list[str] = field(default_factory=list)
+
+
+def parse_response(body: bytes) -> Update:
+    """Return the events of a response; Malformed if it is no JSON object with a list of entries."""
     try:
         raw = json.loads(body)
     except (ValueError, RecursionError) as error:
         raise Malformed(f"invalid JSON: {type(error).__name__}") from error
-    return parse_events(raw)
+    return parse_update(raw)
 
 
-def parse_events(raw: object) -> tuple[int, list[Event]]:
+def parse_update(raw: object) -> Update:
     """Like ``parse_response`` for decoded JSON, such as ``known`` in the configuration."""
     if not isinstance(raw, dict):
         raise Malformed("answer is not an object")
     entries = raw.get("entries") or []
-    if not isinstance(entries, list) or len(entries) > MAX_EVENTS:
-        raise Malformed("entries are not a list, or too many")
-    events = [event for entry in entries if (event := _parse_event(entry)) is not None]
-    last = max((event.pos for event in events), default=0)
-    return _parse_number(raw.get("pos", last), "pos"), events
-
-
-def _parse_event(entry: Any) -> Event | None:
+    if not isinstance(entries, list):
+        raise Malformed("entries are not a list")
+    update = Update()
+    for entry in entries[:MAX_EVENTS]:
+        try:
+            update.events.append(_parse_event(entry, update.errors))
+        except Malformed as error:
+            update.errors.append(str(error))
+    update.last = max((event.pos for event in update.events), default=0)
+    if len(entries) <= MAX_EVENTS:  # else the others are asked for next
+        try:
+            update.last = _parse_number(raw.get("pos", update.last), "pos")
+        except Malformed as error:
+            update.errors.append(str(error))
+    return update
+
+
+def _parse_event(entry: Any, errors: list[str]) -> Event:
     if not isinstance(entry, dict):
         raise Malformed("event is not an object")
     pos, hosts = _parse_number(entry.get("pos", 0), "pos"), entry.get("hosts")
     if not isinstance(hosts, dict):
         return Event(pos, False, [])  # another kind of event: only its number is used
-    endpoints = hosts.get("endpoints") or []
-    if not isinstance(endpoints, list) or len(endpoints) > MAX_ENDPOINTS:
-        raise Malformed("endpoints are not a list, or too many")
-    return Event(pos, bool(hosts.get("snapshot")), [_parse_endpoint(raw) for raw in endpoints])
+    raw_endpoints = hosts.get("endpoints") or []
+    if not isinstance(raw_endpoints, list) or len(raw_endpoints) > MAX_ENDPOINTS:
+        errors.append(f"event {pos}: endpoints are not a list, or too many")
+        return Event(pos, False, [])
+    endpoints = []
+    for raw in raw_endpoints:
+        try:
+            endpoints.append(_parse_endpoint(raw))
+        except Malformed as error:
+            errors.append(f"event {pos}: {error}")
+    # A list that was not read whole doesn't show which hubs are no longer listed.
+    is_snapshot = bool(hosts.get("snapshot")) and len(endpoints) == len(raw_endpoints)
+    return Event(pos, is_snapshot, endpoints)
 
 
 def _parse_endpoint(raw: Any) -> Endpoint:
@@ -76,6 +108,7 @@
         not isinstance(raw, dict)
         or not isinstance(raw.get("name"), str)
         or not (0 < len(raw["name"]) <= MAX_NAME_LENGTH)
+        or not _is_encodable(raw["name"])
     ):
         raise Malformed("endpoint without a valid name")
     address = raw.get("address")
@@ -103,6 +136,15 @@
     )
 
 
+def _is_encodable(text: str) -> bool:
+    """Whether UTF-8 can represent the text; a JSON escape may denote a lone surrogate."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _is_address(value: object) -> bool:
     if not isinstance(value, str) or len(value) > MAX_NAME_LENGTH:
         return False
--- a/tests/network_harness.py
+++ b/tests/network_harness.py
@@ -163,12 +163,12 @@
 
 
 class Journal:
-    """The journal service: long poll over HTTP/1.1. While ``stall`` is set it answers no poll."""
+    """The journal service: long poll over HTTP/1.1, each answer ``delay_s`` late. ``stall``: no answers."""
 
     def __init__(self) -> None:
         self.entries: list[dict[str, Any]] = []
         self.changed = threading.Condition()
-        self.stall = False
+        self.stall, self.delay_s = False, 0.0
         self.polls: Inbox[int] = Inbox()
         self.listener = socket.create_server(("127.0.0.1", 0))
         start_thread(self._accept)
@@ -216,6 +216,7 @@
                 with self.changed:
                     self.changed.wait_for(partial(self.has_entries_after, tail), wait / 1000)
                     body = json.dumps(self.entries_after(tail)).encode()
+                time.sleep(self.delay_s)
                 sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
 
 
--- a/tests/test_flooding_peers.py
+++ b/tests/test_flooding_peers.py
@@ -19,7 +19,7 @@
 from barleywheel.net import sockets
 from barleywheel.net.buffer import Buffer
 from barleywheel.net.connection import Connection
-from barleywheel.net.journal import JournalClient
+from barleywheel.net.journal import JournalClient, Poller
 from barleywheel.snmp.agent import Agent
 from barleywheel.wire import jsonlines, m3ua, sip
 from tests.m3ua_harness import M3uaPeer
@@ -196,7 +196,7 @@
 
 def read_journal_response(source: EndlessSource) -> None:
     client = JournalClient("127.0.0.1:1", cast(Any, SimpleNamespace()), cast(Any, SimpleNamespace()))
-    client._poll(cast(sockets.Socket, source), Buffer())
+    Poller(client).read_response(cast(sockets.Socket, source), Buffer())
 
 
 @pytest.mark.parametrize(
