Drop a failed call in the decision module too, and keep the reload alive

The clean-up after an exception left the call in the decision module, and an exception other than ConfigError would have ended the greenlet that follows SIGHUP, as other exceptions ended the greenlets of callers and hubs.

Change: ControllerFacade.forget reports the caller as gone and logs a second exception; the reload logs an exception and waits for the next SIGHUP.

--- a/barleywheel/facade.py
+++ b/barleywheel/facade.py
@@ -165,8 +165,11 @@
         self._handle_event(api.CallerGone(call.number))
 
     def forget(self, call: Call) -> None:
-        """Drop a call that an exception has ended; the decision module is not told."""
-        self._calls.pop(call.number, None)
+        """Drop a call that an exception has ended, here and in the decision module."""
+        try:
+            self.report_caller_gone(call)
+        except Exception:  # a defect; the call is being cleaned up after one
+            log.exception("decision module failed to drop a call: ref=%s", call.request.ref)
 
     def fire_timer(self, token: int) -> None:
         """Report that a timer of the decision module is due; close the calls that it rejects in response."""
--- a/barleywheel/router.py
+++ b/barleywheel/router.py
@@ -83,6 +83,9 @@
             except config.ConfigError as error:
                 log.warning("configuration not reloaded, keeping the previous one: %s", error)
                 continue
+            except Exception:  # a defect; a later SIGHUP must still be followed
+                log.exception("configuration not reloaded, keeping the previous one")
+                continue
             log.info("configuration reloaded: journal=%s", conf.journal)
             self.journal.set_address(conf.journal)
 
--- a/tests/test_unreadable_input.py
+++ b/tests/test_unreadable_input.py
@@ -14,9 +14,10 @@
 from barleywheel.config import M3uaConfig, PeerConfig
 from barleywheel.core.call_manager import CallManager
 from barleywheel.core.deadlines import Deadlines
-from barleywheel.core.model import Attempt, AttemptResult, AttemptStatus, PlaceAttempt, Request
+from barleywheel.core.model import Attempt, AttemptResult, AttemptStatus, Call, PlaceAttempt, Request
 from barleywheel.core.release import EstablishedCalls
 from barleywheel.core.runtime import now_us
+from barleywheel.facade import ControllerFacade
 from barleywheel.fronts.m3ua import Link, M3uaFront
 from barleywheel.fronts.platform import Caller, PlatformFront
 from barleywheel.net import sockets
@@ -24,6 +25,7 @@
 from barleywheel.net.hubs import Hub as PooledHub
 from barleywheel.net.hubs import HubConnection, HubPool
 from barleywheel.snmp.agent import Agent
+from barleywheel.virtual import environment
 from barleywheel.wire import jsonlines, m3ua, sip
 from tests.network_harness import WAIT_TIMEOUT_S, Hub, answer_call, running_network
 
@@ -203,6 +205,19 @@
     assert not manager.open_calls and REF in manager.established.recently_ended
 
 
+def test_a_second_exception_does_not_end_the_clean_up(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    # Guards against a call that stays in the facade because the decision module fails to drop it as well.
+    conf = environment.base_config()
+    facade = ControllerFacade(conf.settings, conf.names, 1, Deadlines())
+    call = Call(cast(Any, SimpleNamespace(ref=REF)), 1)
+    facade._calls[1] = call
+    monkeypatch.setattr(facade._module, "handle", fail)
+    facade.forget(call)
+    assert not facade._calls and len(caplog.records) == 1
+
+
 def test_a_full_front_lets_others_in_after_connections_end_mid_message(tmp_path: Path) -> None:
     # Guards against places that are kept by connections which are cut off within a message.
     with running_network(tmp_path, Hub("h1", 1, answer_call), sockets=DESCRIPTORS) as harness:
