Count a drain whose own entry is partly invalid, and answer before cleaning up

An endpoint that drains or is gone was left out of an event when its address, weight or start time was invalid, none of which a drain needs, so set-ups would have gone on to it. And the clean-up after an exception in a call answered the caller last, where a second exception would have kept the answer back.

Change: such an endpoint counts by its name, group and status, and the invalid part is still logged. The caller's answer comes first in the clean-up.

--- a/barleywheel/core/call_manager.py
+++ b/barleywheel/core/call_manager.py
@@ -134,9 +134,11 @@
             self._reject(call, decision)
 
     def _clean_up_failed_call(self, call: Call) -> None:
-        """End what a call has open elsewhere when an exception has ended it, and reject it."""
-        self.facade.forget(call)
+        """Reject a call that an exception has ended, and end what it has open elsewhere."""
         self._remember_ended(call)
+        if not call.abandoned:
+            call.request.origin.reject(call.request, Rejection(CAUSE_TEMPORARY_FAILURE))
+        self.facade.forget(call)
         attempt = call.attempt
         if attempt is not None:
             carrier = self._carrier(attempt.hub)
@@ -145,8 +147,6 @@
                 carrier.release(leg, CAUSE_NORMAL_CLEARING)
             elif attempt.finish(AttemptResult(AttemptStatus.CLOSED)):
                 carrier.cancel(attempt)
-        if not call.abandoned:
-            call.request.origin.reject(call.request, Rejection(CAUSE_TEMPORARY_FAILURE))
 
     def _remember_ended(self, call: Call) -> None:
         """Keep the id of a call that failed here: it may be established at a hub.
--- a/barleywheel/fronts/platform.py
+++ b/barleywheel/fronts/platform.py
@@ -161,9 +161,7 @@
         except Malformed as error:
             log.warning("connection closed, malformed input: peer=%s %s", caller.conn.peer, error)
             caller.conn.close()
-        except (
-            Exception
-        ):  # a defect; it must not end the greenlet, which has the connection's entry to remove
+        except Exception:  # a defect; what one peer sends must end no more than its connection
             log.exception("connection closed, failed to handle a message: peer=%s", caller.conn.peer)
             caller.conn.close()
 
--- a/barleywheel/wire/journal.py
+++ b/barleywheel/wire/journal.py
@@ -17,6 +17,7 @@
 MAX_NAME_LENGTH = 256
 MAX_EXACT_INTEGER = 1 << 53  # larger numbers lose precision as JSON numbers
 MAX_CELL = 0xFFFF
+LEAVING_STATUSES = ("Terminating", "Gone")
 
 
 @dataclass(slots=True)
@@ -98,11 +99,23 @@
             endpoints.append(_parse_endpoint(raw))
         except Malformed as error:
             errors.append(f"event {pos}: {error}")
+            if (leaving := _parse_leaving_endpoint(raw)) is not None:
+                endpoints.append(leaving)
     # A list that was not read whole doesn't show which hubs are no longer listed.
     is_snapshot = bool(hosts.get("snapshot")) and len(endpoints) == len(raw_endpoints)
     return Event(pos, is_snapshot, endpoints)
 
 
+def _parse_leaving_endpoint(raw: Any) -> Endpoint | None:
+    """Return an invalid endpoint that drains or is gone, by what that takes: its name, group and status."""
+    if not isinstance(raw, dict) or raw.get("status") not in LEAVING_STATUSES:
+        return None
+    try:
+        return _parse_endpoint({key: raw.get(key) for key in ("name", "group", "status")})
+    except Malformed:
+        return None
+
+
 def _parse_endpoint(raw: Any) -> Endpoint:
     if (
         not isinstance(raw, dict)
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -209,6 +209,20 @@
     assert [endpoint.name for endpoint in partial.events[0].endpoints] == ["h1"]
 
 
+@pytest.mark.parametrize("status", ["Terminating", "Gone"])
+@pytest.mark.parametrize("invalid", [{"address": "nowhere"}, {"weight": -1}, {"since_ms": "x"}])
+def test_a_hub_that_leaves_is_heard_of_although_its_entry_is_invalid(
+    status: str, invalid: dict[str, Any]
+) -> None:
+    # Guards against set-ups to a draining hub for a fault in what a drain does not need.
+    update = journal_wire.parse_update({"entries": [event(1, ENDPOINT | {"status": status} | invalid)]})
+    (endpoint,) = update.events[0].endpoints
+    assert (endpoint.name, endpoint.cell, endpoint.status, endpoint.address) == ("h1", 1, status, None)
+    assert len(update.errors) == 1
+    ready = journal_wire.parse_update({"entries": [event(1, ENDPOINT | invalid)]})
+    assert not ready.events[0].endpoints and len(ready.errors) == 1
+
+
 def test_events_over_the_limit_are_asked_for_next() -> None:
     # Guards against a backlog that is rejected as a whole each time.
     entries = [event(pos, ENDPOINT) for pos in range(1, journal_wire.MAX_EVENTS + 6)]
