--- a/barleywheel/net/hubs.py
+++ b/barleywheel/net/hubs.py
@@ -18,9 +18,6 @@
 
 log = logging.getLogger(__name__)
 MAX_CONNECTIONS_PER_HUB = 4
-# A connect that no set-up waits for may take up to this many times the time-out of the settings: each that
-# times out doubles it, since a hub may be slower to accept than that.
-MAX_CONNECT_TIMEOUT_FACTOR = 4
 RECONNECT_DELAYS_S = (0.1, 0.25, 0.5, 1.0)  # indexed by the failed connects in a row, up to the last
 # Below 8 s: callers must be notified within 8 s of the end of a call, and an unreachable hub reports no ends.
 RELEASE_AFTER_SILENCE_US = 7_300_000
@@ -159,8 +156,7 @@
                 and len(hub.connections) + hub.connecting < MAX_CONNECTIONS_PER_HUB
                 and not self._is_address_reused(hub)
             ):
-                timeout_s = self.connect_timeout_s * min(2**failed_connects, MAX_CONNECT_TIMEOUT_FACTOR)
-                failed_connects = 0 if self._connect(hub, timeout_s) else failed_connects + 1
+                failed_connects = 0 if self._connect(hub) else failed_connects + 1
             elif now_us() - hub.last_received_us > RECONNECT_AFTER_SILENCE_US:
                 self._replace_silent_connection(hub)
             hub.maintenance_needed.clear()
@@ -176,7 +172,7 @@
         if len(hub.connections) + hub.connecting >= MAX_CONNECTIONS_PER_HUB:
             if idle:
                 idle[0].close()
-        elif self._connect(hub, self.connect_timeout_s) is None:
+        elif self._connect(hub) is None:
             for conn in hub.connections:
                 conn.suspect = now_us() - hub.last_received_us > RECONNECT_AFTER_SILENCE_US
         else:
@@ -206,11 +202,11 @@
             other.address == hub.address and self.facade.is_ready(other.name) for other in self.hubs.values()
         )
 
-    def _connect(self, hub: Hub, timeout_s: float) -> HubConnection | None:
+    def _connect(self, hub: Hub) -> HubConnection | None:
         """Open a connection; blocks until it is established, refused or timed out. None if it failed."""
         hub.connecting += 1
         try:
-            sock = sockets.connect(hub.address, timeout_s)
+            sock = sockets.connect(hub.address, self.connect_timeout_s)
         except (OSError, ValueError) as error:
             log.info("connect to hub failed: hub=%s %s", hub.name.decode(), error)
             if not isinstance(error, ConnectionRefusedError):
@@ -280,7 +276,7 @@
                 self._send_on_existing_connection(hub, attempt)
                 return
             suspects[0].close()
-        conn = self._connect(hub, self.connect_timeout_s)
+        conn = self._connect(hub)
         hub.maintenance_needed.set()
         if conn is None:
             attempt.finish(AttemptResult(AttemptStatus.UNREACHABLE))
