Notice every wrong Content-Length that shows in what follows the body

Seen by callers: "up" with a description that no hub made.

Cause: the check of what follows a body took any run of capital letters before a blank or a slash for the start of a message (OTIFY, P/2.0, IP4, RTP/AVP), and any carriage return for a keep-alive, also the body's own last line end. Where the body ended with the receive buffer, nothing followed that could be checked.

Change: what follows has to be keep-alives and then "SIP/2.0 " or a method that a hub may send; none of these ends in another. A line end behind a body without one is the body's own. If the bytes behind the body did not fit into the read, the message waits for the next read, which does not block. Two lengths that differ are malformed.

A test of flooding peers counted its time-out from when the event loop last ran, and ended at once if a long test without the loop came before it; it now updates the loop's clock. Seen by running the files in another order.

--- a/barleywheel/net/buffer.py
+++ b/barleywheel/net/buffer.py
@@ -16,12 +16,18 @@
         self.data = bytearray(INITIAL_BUFFER_BYTES)
         self.start = self.end = 0
         self.parsed_head: Any = None  # a codec's parsed message head; dropped when bytes are taken
+        self.more_unread = False  # set by the reader: more has been received than the last read had space for
         self.skipped_bytes = 0  # by skip_leading since bytes were last taken
         self._searched_mark, self._searched_bytes = b"", 0
 
     def __len__(self) -> int:
         return self.end - self.start
 
+    @property
+    def is_full(self) -> bool:
+        """Whether the last read used all the space that it had."""
+        return self.end == len(self.data)
+
     def fill(self, sock: Socket) -> int:
         """Read once from the socket; 0 at the end of the stream."""
         self.reserve()
--- a/barleywheel/net/connection.py
+++ b/barleywheel/net/connection.py
@@ -101,6 +101,7 @@
             while self.open:
                 if self.buffer.fill(self.sock) == 0:
                     return
+                self.buffer.more_unread = self.buffer.is_full and self.unread() > 0
                 yield from self._buffered_messages(parse_next)
                 if len(self.buffer) and self._message_timer is None and self.open:
                     self._start_message_timer()
--- a/barleywheel/wire/sip.py
+++ b/barleywheel/wire/sip.py
@@ -15,8 +15,28 @@
 # Start lines that show a wrong Content-Length, or a message cut off within its header.
 START_LINE_IN_BODY = re.compile(rb"SIP/2\.0 [1-6]\d\d |[A-Z]{3,16} [^\s]{1,200} SIP/2\.0\r\n")
 START_LINE_IN_HEADER = re.compile(r"SIP/2\.0 [1-6]\d\d |[A-Z] \S+ SIP/2\.0\Z")
-# The first bytes of a message, possibly incomplete.
-MESSAGE_PREFIX = re.compile(rb"[A-Z]{1,16}(?: .*|/.*)?\Z", re.S)
+# A hub's message begins with one of these: a response, or a request of a registered method. None of them ends
+# in another, so a start line without its first bytes is not taken for one. PRACK is left out because it ends
+# in ACK; hubs have no use for it.
+MESSAGE_STARTS = (
+    b"SIP/2.0 ",
+    b"ACK ",
+    b"BYE ",
+    b"CANCEL ",
+    b"INFO ",
+    b"INVITE ",
+    b"MESSAGE ",
+    b"NOTIFY ",
+    b"OPTIONS ",
+    b"PUBLISH ",
+    b"REFER ",
+    b"REGISTER ",
+    b"SUBSCRIBE ",
+    b"UPDATE ",
+)
+LINE_END = b"\r\n"
+# Bytes behind a body that are examined: keep-alives and the start of the next message.
+LOOKAHEAD_BYTES = 24
 INVALID_CHARACTERS = re.compile(r"[\x00-\x08\x0b-\x1f\x7f\ufffd]")
 CAUSE_PARAMETER = re.compile(r"cause\s*=\s*(\d{1,3})(?!\d)", re.I)
 CAUSE_NORMAL_CLEARING = 16
@@ -89,17 +109,26 @@
     end, size, message = buffer.parsed_head
     if len(buffer) < size:
         return None
+    if len(buffer) < size + LOOKAHEAD_BYTES and buffer.more_unread:
+        return None  # the bytes behind the body have been received but did not fit into the last read
     message.body = buffer.take(size)[end + 4 :]
     # A wrong length shows in the bytes that follow, or in a body that contains the start of the next message.
-    if (
-        START_LINE_IN_BODY.search(message.body)
-        or (rest := buffer.peek(24))
-        and not (rest.startswith(b"\r") or MESSAGE_PREFIX.match(rest))
-    ):
+    if START_LINE_IN_BODY.search(message.body) or not _may_follow(message.body, buffer.peek(LOOKAHEAD_BYTES)):
         raise Malformed("Content-Length does not match the message")
     return message
 
 
+def _may_follow(body: bytes, rest: bytes) -> bool:
+    """Whether the bytes behind a body, possibly incomplete, are keep-alives and the start of a message."""
+    if body and not body.endswith(LINE_END) and rest[:1] == b"\r":
+        return False  # rather the body's own last line end than a keep-alive
+    while rest.startswith(LINE_END):
+        rest = rest[len(LINE_END) :]
+    return rest in (b"", b"\r") or any(
+        rest.startswith(start) or start.startswith(rest) for start in MESSAGE_STARTS
+    )
+
+
 def parse_head(data: bytes) -> Message:
     """Parse the start line and the headers."""
     text = re.sub(r"\r\n[ \t]+", " ", data.decode("utf-8", "replace"))
@@ -120,7 +149,10 @@
         if not colon:
             raise Malformed("header without a colon")
         name = name.strip().lower()
-        message.headers.setdefault(COMPACT_HEADER_NAMES.get(name, name), value.strip())
+        name, value = COMPACT_HEADER_NAMES.get(name, name), value.strip()
+        if name == "content-length" and message.headers.get(name, value) != value:
+            raise Malformed("two different Content-Lengths")
+        message.headers.setdefault(name, value)
     if message.status and not (message.call_id and message.cseq[1]):
         raise Malformed("response without Call-ID or CSeq")
     return message
--- a/tests/test_flooding_peers.py
+++ b/tests/test_flooding_peers.py
@@ -169,6 +169,7 @@
             self.reads_when_others_ran = self.reads
 
         greenlets: list[Any] = [gevent.spawn(other_reader), gevent.spawn(read)]
+        gevent.get_hub().loop.update_now()  # else the time-out counts from when the loop last ran
         try:
             gevent.joinall(greenlets, timeout=10)
         finally:
@@ -179,8 +180,10 @@
 
 def read_messages(source: EndlessSource, parse_next: Callable[[Buffer], Any]) -> None:
     connection = Connection(cast(sockets.Socket, source), "peer", Deadlines(), 1_000_000)
-    for _ in connection.messages(parse_next):
-        pass
+    network = SimpleNamespace(unread=lambda sock: len(sock.data))
+    with sockets.use_network(cast(Any, network)):
+        for _ in connection.messages(parse_next):
+            pass
 
 
 def accept_connections(source: EndlessSource) -> None:
