Open a hub connection after each that has ended, so that lost releases are repeated

Cause: what a hub has sent on a connection that the router closes is lost. The hub repeats its releases on the next connection that is opened, but one was opened only if no usable one was left. In the case another set-up had opened one between the spoilt answer and the close, so none followed.

Change: each end of a connection, whoever ended it, makes the pool open one: at once if the other side ended it, else 100 ms later, when the hub has noticed the close. A hub that has its maximum of connections gives up an idle one.

Same cause on a related path: a connection on which a set-up was never answered was marked as suspect, but nothing checked it unless it had another set-up, so it stayed open and swallowed the releases of the calls set up on it. Suspect connections are pinged too.

--- a/barleywheel/net/connection.py
+++ b/barleywheel/net/connection.py
@@ -40,6 +40,7 @@
     ) -> None:
         self.sock, self.peer = sock, peer
         self.open, self.reset = True, False
+        self.ended_by_peer = False  # by its end of the stream or a reset, rather than by this side
         self.buffer = Buffer()
         self._queue = bytearray()
         self._data_queued = runtime.event()
@@ -100,6 +101,7 @@
         try:
             while self.open:
                 if self.buffer.fill(self.sock) == 0:
+                    self.ended_by_peer = True
                     return
                 self.buffer.more_unread = self.buffer.is_full and self.unread() > 0
                 yield from self._buffered_messages(parse_next)
@@ -146,6 +148,7 @@
         """Close the connection; has no effect if it is closed already."""
         if self.open:
             self.open, self.reset = False, reset
+            self.ended_by_peer = self.ended_by_peer or reset
             self._cancel_message_timer()
             self._data_queued.set()
             self.sock.close()
--- a/barleywheel/net/hubs.py
+++ b/barleywheel/net/hubs.py
@@ -32,6 +32,8 @@
 # Ended set-ups remembered per connection, so that a late 200 for one of them is released with a BYE.
 MAX_ENDED_SETUPS_PER_CONNECTION = 512
 RELEASE_RETENTION_US = 8_000_000  # how long a release waits for a connection to its hub
+# By then a hub has noticed that this side closed a connection, and sends no more releases on it.
+CLOSE_NOTICED_AFTER_US = 100_000
 STATUS_BY_RESPONSE = {
     503: AttemptStatus.REFUSED,
     486: AttemptStatus.ERROR,
@@ -79,11 +81,27 @@
         self.last_received_us = now_us()
         # The last_received_us for which a release of the hub's calls is already scheduled.
         self.release_scheduled_for_silence_since_us = 0
+        # A connection opened from this time on makes the hub repeat the releases that were lost with another.
+        self.repeat_due_us: int | None = None
         self.maintenance_needed = runtime.event()
         self.connect_attempt_ended = runtime.event()
         # Waiting for a connection: expiry time in us, then Call-ID, CSeq, called number and cause of the BYE.
         self.pending_releases: list[tuple[int, str, int, str, int]] = []
 
+    @property
+    def repeat_is_due(self) -> bool:
+        """Whether a connection is to be opened so that the hub repeats its releases."""
+        return self.repeat_due_us is not None and self.repeat_due_us <= now_us()
+
+    @property
+    def has_most_connections(self) -> bool:
+        """Whether no further connection to the hub is allowed."""
+        return len(self.connections) + self.connecting >= MAX_CONNECTIONS_PER_HUB
+
+    def idle_connections(self) -> list[HubConnection]:
+        """The connections without an open set-up."""
+        return [conn for conn in self.connections if not conn.setups]
+
     def usable_connection(self, call: Call | None = None) -> HubConnection | None:
         """Return a connection for a new set-up: nothing queued, no incomplete message read, not suspect.
 
@@ -151,27 +169,30 @@
         """Keep a connection open: the hub sends group state and releases on it."""
         failed_connects = 0
         while not hub.gone:
-            if (
-                hub.usable_connection() is None
-                and len(hub.connections) + hub.connecting < MAX_CONNECTIONS_PER_HUB
-                and not self._is_address_reused(hub)
-            ):
+            needs_connection = hub.usable_connection() is None or hub.repeat_is_due
+            if needs_connection and not hub.has_most_connections and not self._is_address_reused(hub):
                 failed_connects = 0 if self._connect(hub) else failed_connects + 1
+            elif hub.repeat_is_due and hub.has_most_connections:
+                self._close_one_idle_connection(hub)
             elif now_us() - hub.last_received_us > RECONNECT_AFTER_SILENCE_US:
                 self._replace_silent_connection(hub)
             hub.maintenance_needed.clear()
             hub.maintenance_needed.wait(
                 RECONNECT_DELAYS_S[min(failed_connects, len(RECONNECT_DELAYS_S) - 1)]
-                if hub.usable_connection() is None
+                if hub.usable_connection() is None or hub.repeat_due_us is not None
                 else 1.0
             )
 
+    def _close_one_idle_connection(self, hub: Hub) -> None:
+        """Make room for a new connection, if there is an idle one."""
+        for conn in hub.idle_connections()[:1]:
+            conn.close()
+
     def _replace_silent_connection(self, hub: Hub) -> None:
         """Replace silent connections by a new one; a connect to a machine that vanished does not succeed."""
-        idle = [conn for conn in hub.connections if not conn.setups]
-        if len(hub.connections) + hub.connecting >= MAX_CONNECTIONS_PER_HUB:
-            if idle:
-                idle[0].close()
+        idle = hub.idle_connections()
+        if hub.has_most_connections:
+            self._close_one_idle_connection(hub)
         elif self._connect(hub) is None:
             for conn in hub.connections:
                 conn.suspect = now_us() - hub.last_received_us > RECONNECT_AFTER_SILENCE_US
@@ -204,6 +225,7 @@
 
     def _connect(self, hub: Hub) -> HubConnection | None:
         """Open a connection; blocks until it is established, refused or timed out. None if it failed."""
+        repeat_due_us = hub.repeat_due_us if hub.repeat_is_due else None
         hub.connecting += 1
         try:
             sock = sockets.connect(hub.address, self.connect_timeout_s)
@@ -223,6 +245,8 @@
             hub.connecting -= 1
             hub.connect_attempt_ended.set()
         hub.last_received_us = now_us()
+        if hub.repeat_due_us == repeat_due_us:  # no further connection has ended meanwhile
+            hub.repeat_due_us = None
         conn = HubConnection(sock, hub.name.decode(), self.deadlines)
         hub.connections.append(conn)
         runtime.spawn(self._read, hub, conn)
@@ -255,6 +279,9 @@
         conn.setups.clear()
         if hub.gone and not hub.connections:
             self.call_manager.established.release_all_at_hub(hub.name)
+        # Releases that were on their way on the connection are lost. The hub repeats them on the next one that
+        # is opened, so one is opened even if a usable one is left.
+        hub.repeat_due_us = now_us() + (0 if conn.ended_by_peer else CLOSE_NOTICED_AFTER_US)
         hub.maintenance_needed.set()
 
     # Attempts.
@@ -270,8 +297,8 @@
             runtime.spawn(self._connect_and_send, hub, attempt)
 
     def _connect_and_send(self, hub: Hub, attempt: Attempt) -> None:
-        if len(hub.connections) + hub.connecting >= MAX_CONNECTIONS_PER_HUB:
-            suspects = [c for c in hub.connections if c.suspect and not c.setups]
+        if hub.has_most_connections:
+            suspects = [conn for conn in hub.idle_connections() if conn.suspect]
             if not suspects:
                 self._send_on_existing_connection(hub, attempt)
                 return
@@ -332,21 +359,22 @@
     def _schedule_silence_check(
         self, conn: HubConnection, name: bytes, delay_us: int, ping_sent: bool
     ) -> None:
-        """Check later whether a connection with open set-ups has gone silent: ping it first, then close it.
+        """Check later whether a connection has gone silent: ping it first, then close it.
 
-        A hub that is merely slow answers the ping (OPTIONS) immediately. Without an answer the connection is
-        closed, which ends its set-ups and keeps new ones off it. Connections to a draining hub are not
-        checked, because they could not be replaced: it accepts no new ones.
+        A connection is checked while it has open set-ups or is suspect. A hub that is merely slow answers the
+        ping (OPTIONS) immediately. Without an answer the connection is closed, which ends its set-ups, keeps
+        new ones off it, and makes the hub send the releases of its calls on another one. Connections to a
+        draining hub are not checked, because they could not be replaced: it accepts no new ones.
         """
         last_received_us = conn.last_received_us
         conn.silence_check_scheduled = True
 
         def check() -> None:
             conn.silence_check_scheduled = False
-            if not conn.open or not conn.setups or not self.facade.is_ready(name):
+            if not conn.open or not (conn.setups or conn.suspect) or not self.facade.is_ready(name):
                 return
             now = now_us()
-            oldest_sent_us = next(iter(conn.setups.values())).sent_us
+            oldest_sent_us = next(iter(conn.setups.values())).sent_us if conn.setups else 0
             # Checked again later: something was received meanwhile, read or not (this process may have been
             # off its processor), or the oldest set-up is too recent.
             if (
@@ -384,6 +412,8 @@
             and (attempt.result.status is AttemptStatus.TIMEOUT)
         ):
             hub_attempt.conn.suspect = True  # the machine may have vanished; a new connect will show it
+            if not hub_attempt.conn.silence_check_scheduled:
+                self._schedule_silence_check(hub_attempt.conn, attempt.hub, 0, False)
             if (hub := self.hubs.get(attempt.hub)) is not None:
                 hub.maintenance_needed.set()
 
