Send a release only to a connection that is known to be a caller's

Seen by callers: a client that had closed its idle connection was never told that its calls were over.

Cause: any connection that had sent a set-up counted as a caller's, before the set-up was checked, and one write to one of them ended the matter. Releases that waited went to the next connection with a set-up of any kind.

Change: fronts/release_delivery.py. A connection is a caller's once it has sent a test, had a call established, or released a call that stood. A release goes to the call's own connection, else to a caller's, else it waits for one; after 0.7 s a connection whose valid set-up was decided on gets it too, since it may be the only one its caller has.

Related: a caller whose new connection sends only releases gets those that wait; a peer that has already closed is not written to; what was written in the second before a reset, and not acknowledged, is sent again; 10,000 releases wait at most, for 30 s (before: any number, for 8 s).

--- a/barleywheel/fronts/platform.py
+++ b/barleywheel/fronts/platform.py
@@ -11,8 +11,15 @@
 from barleywheel.core import runtime
 from barleywheel.core.call_manager import CallManager
 from barleywheel.core.deadlines import Deadlines
-from barleywheel.core.model import CAUSE_NORMAL_CLEARING, CAUSE_TEMPORARY_FAILURE, Rejection, Request
+from barleywheel.core.model import (
+    CAUSE_INVALID_MESSAGE,
+    CAUSE_NORMAL_CLEARING,
+    CAUSE_TEMPORARY_FAILURE,
+    Rejection,
+    Request,
+)
 from barleywheel.core.runtime import now_us
+from barleywheel.fronts.release_delivery import CallerTrust, ReleaseDelivery, UnconfirmedReleases
 from barleywheel.net import sockets
 from barleywheel.net.connection import Connection
 from barleywheel.wire import Malformed, jsonlines, sip
@@ -20,7 +27,6 @@
 log = logging.getLogger(__name__)
 CALL_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}\Z")
 CALLED_NUMBER_PATTERN = re.compile(r"[0-9a-fA-F]{1,16}\Z")
-RELEASE_RETENTION_US = 8_000_000  # how long a release waits for a connection to a caller
 # A connection without a complete message must be closed within 3 s.
 FIRST_MESSAGE_TIMEOUT_US = 2_300_000
 # A set-up whose time left exceeds its class's deadline by more is rejected: no caller waits that long.
@@ -36,8 +42,8 @@
         self.front, self.conn = front, conn
         self.refs: set[str] = set()  # call ids of its open set-ups
         self.has_sent_message = False
-        # 0: not known to be a caller; 1: has sent a set-up or heartbeat; 2: a call of it was established.
-        self.trust_level = 0
+        self.trust = CallerTrust.UNKNOWN
+        self.unconfirmed = UnconfirmedReleases()
         self.established_count = 0  # calls reported to it as established and not yet as released
 
     def answer(self, request: Request, description: bytes) -> bool:
@@ -47,14 +53,19 @@
             self.reject(request, Rejection(CAUSE_TEMPORARY_FAILURE))
             return False
         self.refs.discard(request.ref)
-        self.trust_level, self.established_count = 2, self.established_count + 1
-        return self.conn.write(data)
+        if not self.conn.write(data):
+            return False
+        self.established_count += 1
+        self.raise_trust(CallerTrust.CALLER)
+        return True
 
     def reject(self, request: Request, rejection: Rejection) -> None:
         """Report the call as refused or failed, with a retry time if the decision module advises one."""
         # If the call id repeats that of an open call, that call stays open on this connection.
         if request.ref not in self.front.call_manager.open_calls:
             self.refs.discard(request.ref)
+        if rejection.cause != CAUSE_INVALID_MESSAGE:
+            self.raise_trust(CallerTrust.LIKELY_CALLER)
         ms = math.ceil(rejection.retry_after_us / 1000)
         advice = {"wait": str(ms)} if ms else {}
         self.conn.write(jsonlines.encode("down", request.ref, advice, rejection.cause))
@@ -62,7 +73,13 @@
     def release(self, ref: str, cause: int) -> None:
         """Report the release of an established call."""
         self.established_count -= 1
-        self.front.release(ref, cause, self.conn)
+        self.front.releases.send(ref, cause, self)
+
+    def raise_trust(self, trust: CallerTrust) -> None:
+        """Record what a message has shown about the peer; releases that wait for such a one are sent."""
+        if trust > self.trust:
+            self.trust = trust
+            self.front.releases.on_trust_changed(self)
 
 
 class PlatformFront:
@@ -71,7 +88,7 @@
     def __init__(self, call_manager: CallManager, deadlines: Deadlines, max_callers: int) -> None:
         self.call_manager, self.deadlines, self.max_callers = call_manager, deadlines, max_callers
         self.callers: OrderedDict[Caller, None] = OrderedDict()  # in the order of their last message
-        self.pending_releases: dict[str, int] = {}  # call id to cause; no connection was open
+        self.releases = ReleaseDelivery(deadlines, lambda: reversed(self.callers))
         self.shutting_down = self.closed = False
         self._listener: sockets.Listener | None = None
 
@@ -92,13 +109,6 @@
             self.callers[caller] = None
             runtime.spawn(self._serve, caller)
 
-    def _mark_as_caller(self, caller: Caller) -> None:
-        """Record that this is a caller, and send it the releases that wait for a connection."""
-        caller.trust_level = max(caller.trust_level, 1)
-        for ref, cause in self.pending_releases.items():
-            caller.conn.write(jsonlines.encode("down", ref, cause=cause))
-        self.pending_releases.clear()
-
     def close(self) -> None:
         """Stop accepting connections."""
         self.closed = True
@@ -126,9 +136,7 @@
         # First those that sent nothing, then those that sent nothing valid, each by the time of their last
         # message. Last those with established calls, because releases are reported on them: on another
         # connection they might reach a peer that is not a caller.
-        idle.sort(
-            key=lambda caller: (caller.has_sent_message, caller.trust_level, caller.established_count > 0)
-        )
+        idle.sort(key=lambda caller: (caller.has_sent_message, caller.trust, caller.established_count > 0))
         # Closing a connection with unread bytes would lose set-ups that are received but not yet handled.
         caller = next((caller for caller in idle if not caller.conn.unread()), None)
         if caller is None:
@@ -154,6 +162,7 @@
             self.callers.pop(caller, None)
             for ref in list(caller.refs):
                 self.call_manager.abandon(ref)
+            self.releases.on_connection_lost(caller)
 
     def _handle_message_or_close(self, caller: Caller, message: dict[str, Any]) -> None:
         try:
@@ -168,7 +177,7 @@
     def _handle_message(self, caller: Caller, message: dict[str, Any]) -> None:
         kind, ref = message["t"], message.get("ref", "")
         if kind == "hb":
-            self._mark_as_caller(caller)
+            caller.raise_trust(CallerTrust.CALLER)
             caller.conn.write(jsonlines.encode("hb_ok", ref, cause=0 if self.shutting_down else 1))
             return
         if not CALL_ID_PATTERN.match(ref):
@@ -182,11 +191,12 @@
                 request.time_left_us = -1
             if ref not in self.call_manager.open_calls:
                 caller.refs.add(ref)
-                self._mark_as_caller(caller)
             self.call_manager.accept(request)
         elif kind == "down":
             self._handle_release(caller, ref, message.get("c"))
-        elif kind != "ack":
+        elif kind == "ack":
+            caller.unconfirmed.confirm(ref)
+        else:
             raise Malformed("unknown message type")
 
     def _handle_release(self, caller: Caller, ref: str, cause: object) -> None:
@@ -198,28 +208,16 @@
         leg = self.call_manager.established.legs.get(ref)
         if leg is not None and isinstance(leg.origin, Caller):
             leg.origin.established_count -= 1
-        if self.call_manager.established.release_from_caller(ref, number):
+        if self.call_manager.established.release_from_caller(ref, number) or self.releases.discard(ref):
             caller.conn.write(jsonlines.encode("ack", ref))
+            caller.raise_trust(CallerTrust.CALLER)  # only its caller knows the id of a call that stands
         elif ref not in self.call_manager.established.recently_ended:
             log.info("release of an unknown call: ref=%s cause=%d", ref, number)
             caller.conn.write(jsonlines.encode("ack", ref))
 
-    def release(self, ref: str, cause: int, conn: Connection | None = None) -> None:
-        """Report a release on the call's own connection, else on any caller's, else on the next one."""
-        data = jsonlines.encode("down", ref, cause=cause)
-        connections = [conn] if conn is not None else []
-        host = conn.peer.partition(":")[0] if conn is not None else ""
-        # A peer may not be a caller, and it may have left without notice. So those that had an established
-        # call come first, then those on the call's own host, then those with the most recent message.
-        others = sorted(
-            (caller for caller in reversed(self.callers) if caller.trust_level),
-            key=lambda caller: (-caller.trust_level, not caller.conn.peer.startswith(host + ":")),
-        )
-        if not any(c.write(data) for c in connections + [caller.conn for caller in others]):
-            self.pending_releases[ref] = cause
-            self.deadlines.schedule(
-                now_us() + RELEASE_RETENTION_US, lambda: self.pending_releases.pop(ref, None)
-            )
+    def release(self, ref: str, cause: int) -> None:
+        """Report the release of a call that was established before this process started."""
+        self.releases.send(ref, cause)
 
 
 def _int_or_default(value: object, default: int) -> int:
--- a/barleywheel/fuzz/scripts.py
+++ b/barleywheel/fuzz/scripts.py
@@ -956,7 +956,7 @@
             "calls of the facade": router.facade._calls,
             "calls of the decision module": router.facade._module.calls,
             "callers": router.front.callers,
-            "pending releases to callers": router.front.pending_releases,
+            "pending releases to callers": router.front.releases.waiting,
             "set-ups": [
                 key
                 for router_hub in router.hubs.hubs.values()
--- a/barleywheel/net/connection.py
+++ b/barleywheel/net/connection.py
@@ -59,6 +59,10 @@
         """Number of bytes received by the kernel and not yet read."""
         return sockets.unread(self.sock) if self.open else 0
 
+    def peer_has_closed(self) -> bool:
+        """Whether the peer has left, so that nothing written reaches it; there may be bytes left to read."""
+        return not self.open or sockets.peer_has_closed(self.sock)
+
     def write(self, data: bytes) -> bool:
         """Send, or queue what the socket does not accept now; False if the connection is closed."""
         if not self.open:
--- a/barleywheel/net/hubs.py
+++ b/barleywheel/net/hubs.py
@@ -279,8 +279,8 @@
         conn.setups.clear()
         if hub.gone and not hub.connections:
             self.call_manager.established.release_all_at_hub(hub.name)
-        # Releases that were on their way on the connection are lost. The hub repeats them on the next one that
-        # is opened, so one is opened even if a usable one is left.
+        # Releases that were on their way on the connection are lost. The hub repeats them on the next one
+        # that is opened, so one is opened even if a usable one is left.
         hub.repeat_due_us = now_us() + (0 if conn.ended_by_peer else CLOSE_NOTICED_AFTER_US)
         hub.maintenance_needed.set()
 
--- a/barleywheel/net/sockets.py
+++ b/barleywheel/net/sockets.py
@@ -8,6 +8,7 @@
 
 import fcntl
 import logging
+import select
 import sys
 import termios
 from collections.abc import Callable, Iterator
@@ -93,6 +94,9 @@
     def unread(self, sock: Socket) -> int:
         """Number of bytes that an open socket has received and that are not yet read."""
 
+    def peer_has_closed(self, sock: Socket) -> bool:
+        """Whether the peer has ended its stream or reset the connection, whatever is left to read."""
+
 
 def set_tcp_nodelay(sock: Any) -> None:
     """Disable Nagle's algorithm, so that each message is sent immediately."""
@@ -155,6 +159,12 @@
         """See ``Network``."""
         return int.from_bytes(fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4)), sys.byteorder)
 
+    def peer_has_closed(self, sock: Any) -> bool:
+        """See ``Network``."""
+        poller = select.poll()
+        poller.register(sock.fileno(), select.POLLRDHUP)
+        return bool(poller.poll(0))
+
 
 _gevent_network: Network = GeventNetwork()
 _active_network: Network = _gevent_network
@@ -189,6 +199,11 @@
     return _active_network.unread(sock)
 
 
+def peer_has_closed(sock: Socket) -> bool:
+    """Whether the peer has ended its stream or reset the connection, whatever is left to read."""
+    return _active_network.peer_has_closed(sock)
+
+
 @contextmanager
 def use_network(network: Network) -> Iterator[None]:
     """Use another network within the context."""
--- a/barleywheel/virtual/network.py
+++ b/barleywheel/virtual/network.py
@@ -313,6 +313,10 @@
         """See ``Network``."""
         return sum(map(len, sock._incoming))
 
+    def peer_has_closed(self, sock: Any) -> bool:
+        """See ``Network``."""
+        return bool(sock._eof or sock._reset)
+
     def connect_to_router(
         self,
         listen_address: Address,
