Tell an exchange of releases after a restart, and of RELs lost with their link

Cause: the id of a call from an exchange was random, so after a restart nothing told whose it was, and every unknown release went to the JSON front. On a link that became active, only RELs that had never been sent went out.

Change: such an id names its circuit (fronts/circuit_call_id.py). Releases of calls from before the start are offered to the M3UA front first, which sends REL unless the circuit has been used since. A link that becomes active carries REL for each circuit that is being released.

Related: circuits that were blocked while their link was dead are released on the next link; a JSON caller can't release a call of an exchange; a set-up whose id has a release waiting drops that release (found by the fuzzer: it ended the new call).

--- a/barleywheel/core/model.py
+++ b/barleywheel/core/model.py
@@ -88,6 +88,13 @@
         """Handle the release of an established call."""
 
 
+class UnknownReleaseListener(Protocol):
+    """Is asked about releases of calls that were established before this process started."""
+
+    def release_unknown(self, ref: str, cause: int) -> bool:
+        """Handle the release if the call's caller is to be told here; False if it is not."""
+
+
 class CallOrigin(ReleaseListener, Protocol):
     """The front or connection that a request came from, which passes on its one final answer."""
 
@@ -114,6 +121,7 @@
 
     def __init__(self, request: Request, number: int) -> None:
         self.request, self.number = request, number
+        self.origin = request.origin
         self.attempts = 0
         self.attempt: Attempt | None = None
         self.abandoned = False  # by the caller, who expects no answer any more
--- a/barleywheel/core/release.py
+++ b/barleywheel/core/release.py
@@ -5,7 +5,7 @@
 import logging
 
 from barleywheel.core.deadlines import Deadlines
-from barleywheel.core.model import CAUSE_TEMPORARY_FAILURE, Leg, ReleaseListener
+from barleywheel.core.model import CAUSE_TEMPORARY_FAILURE, Leg, UnknownReleaseListener
 from barleywheel.core.runtime import now_us
 
 log = logging.getLogger(__name__)
@@ -19,8 +19,8 @@
     def __init__(self, deadlines: Deadlines) -> None:
         self.legs: dict[str, Leg] = {}
         self.recently_ended: set[str] = set()
-        # Is notified when a call that was established before this process started is released.
-        self.unknown_release_listener: ReleaseListener | None = None
+        # Asked in turn when a call that was established before this process started is released.
+        self.unknown_release_listeners: list[UnknownReleaseListener] = []
         self._deadlines = deadlines
 
     def add(self, leg: Leg) -> None:
@@ -39,11 +39,11 @@
         if leg is not None:
             self.remember_ended(ref)
             leg.origin.release(ref, cause)
-        elif ref not in self.recently_ended and self.unknown_release_listener is not None:
+        elif ref not in self.recently_ended:
             # The call may have been established before a restart; its caller still waits for the release.
             self.remember_ended(ref)
             log.info("release of a call from before the last restart: ref=%s cause=%d", ref, cause)
-            self.unknown_release_listener.release(ref, cause)
+            any(listener.release_unknown(ref, cause) for listener in self.unknown_release_listeners)
 
     def release_from_caller(self, ref: str, cause: int) -> bool:
         """Handle a release by the caller and pass it on to the hub; False for an unknown call."""
--- a/barleywheel/fronts/m3ua.py
+++ b/barleywheel/fronts/m3ua.py
@@ -28,6 +28,7 @@
 )
 from barleywheel.core.runtime import now_us
 from barleywheel.facade import ControllerFacade
+from barleywheel.fronts.circuit_call_id import CircuitAddress, circuit_of, new_call_id
 from barleywheel.net import sockets
 from barleywheel.net.connection import Connection
 from barleywheel.wire import isup, m3ua
@@ -69,6 +70,8 @@
     rel_queued: bool = False  # RELEASING: REL to be sent when the link is active
     rels_sent: int = 0  # RELEASING
     rlc_timer: DeadlineHandle | None = None
+    # A call may stand on a circuit that was never used, from before this process started.
+    used_since_start: bool = False
 
 
 class Link(Connection):
@@ -132,7 +135,7 @@
         self._remove_reference(circuit)
         # Replaced by a new object: a stale reference to the old one must not release a later call.
         circuit.state = CircuitState.IDLE
-        self.circuits[circuit.cic] = Circuit(circuit.cic)
+        self.circuits[circuit.cic] = Circuit(circuit.cic, used_since_start=True)
         self.report_circuits()
 
     def report_circuits(self) -> None:
@@ -169,15 +172,26 @@
         else:
             circuit.rel_queued = True
 
+    def restart_release(self, circuit: Circuit) -> None:
+        """Send REL as if none had been sent."""
+        if circuit.rlc_timer is not None:
+            self.front.deadlines.cancel(circuit.rlc_timer)
+        circuit.state, circuit.rels_sent = CircuitState.RELEASING, 0
+        self.send_rel(circuit)
+
     # ASP state changes.
 
     def handle_asp_active(self) -> None:
-        """Send each queued REL once."""
-        queued = [circuit for circuit in self.circuits.values() if circuit.rel_queued]
-        if queued:
-            log.info("sending queued RELs: peer=%d count=%d", self.conf.point_code, len(queued))
-        for circuit in queued:
-            self.send_rel(circuit)
+        """Send REL on each circuit that is being released: what was sent before may be lost with its link."""
+        unreleased = [
+            circuit
+            for circuit in self.circuits.values()
+            if circuit.state in (CircuitState.RELEASING, CircuitState.BLOCKED)
+        ]
+        if unreleased:
+            log.info("sending RELs on a new link: peer=%d count=%d", self.conf.point_code, len(unreleased))
+        for circuit in unreleased:
+            self.restart_release(circuit)
         self.report_circuits()
 
     def handle_asp_inactive(self) -> None:
@@ -222,6 +236,7 @@
                 return
             attempt.sent_us, attempt.carrier_state = now_us(), circuit
             circuit.state, circuit.ref, circuit.attempt = CircuitState.OUTGOING, request.ref, attempt
+            circuit.used_since_start = True
             if self.send(iam):
                 self.report_circuits()
             elif not attempt.has_ended:
@@ -298,6 +313,21 @@
             if peer.conf.cell is not None:
                 call_manager.carriers[peer.conf.cell] = peer
 
+    def release_unknown(self, ref: str, cause: int) -> bool:
+        """Release the circuit that the id names, if its call may be from before this process started."""
+        address = circuit_of(ref)
+        peer = self.peers.get(address.point_code) if address is not None else None
+        circuit = peer.circuits.get(address.cic) if peer is not None and address is not None else None
+        if peer is None or circuit is None:
+            return False
+        if circuit.used_since_start:
+            # The exchange has used or released the circuit since, so it no longer has the call.
+            log.info("release of a call that is over: peer=%d cic=%d", peer.conf.point_code, circuit.cic)
+        else:
+            circuit.used_since_start = True
+            peer.start_release(circuit, cause)
+        return True
+
     def category(self, class_name: str) -> int:
         """The calling party's category of a class; 10, ordinary subscriber, if none is configured."""
         class_config = self.conf.classes.get(class_name)
@@ -546,8 +576,8 @@
             return
         class_name = self._class_names_by_category.get(isup_message.category, "")
         class_config = self.conf.classes.get(class_name)
-        ref = runtime.token()
-        circuit.state, circuit.ref = CircuitState.INCOMING, ref
+        ref = new_call_id(CircuitAddress(peer.conf.point_code, circuit.cic))
+        circuit.state, circuit.ref, circuit.used_since_start = CircuitState.INCOMING, ref, True
         peer.incoming_by_ref[ref] = circuit
         peer.report_circuits()
         peer.send(isup.Message(circuit.cic, isup.Type.ACM))
--- a/barleywheel/fronts/platform.py
+++ b/barleywheel/fronts/platform.py
@@ -191,6 +191,7 @@
                 request.time_left_us = -1
             if ref not in self.call_manager.open_calls:
                 caller.refs.add(ref)
+                self.releases.discard(ref)  # it would seem to end the new call
             self.call_manager.accept(request)
         elif kind == "down":
             self._handle_release(caller, ref, message.get("c"))
@@ -200,12 +201,15 @@
             raise Malformed("unknown message type")
 
     def _handle_release(self, caller: Caller, ref: str, cause: object) -> None:
+        call, leg = self.call_manager.open_calls.get(ref), self.call_manager.established.legs.get(ref)
+        if any(item is not None and not isinstance(item.origin, Caller) for item in (call, leg)):
+            log.warning("release of a call of another front ignored: peer=%s ref=%s", caller.conn.peer, ref)
+            return
         if self.call_manager.abandon(ref):
             caller.refs.discard(ref)
             return
         # type() rather than isinstance(), because JSON's true is an int too.
         number = cause if type(cause) is int and 0 < cause < 128 else CAUSE_NORMAL_CLEARING
-        leg = self.call_manager.established.legs.get(ref)
         if leg is not None and isinstance(leg.origin, Caller):
             leg.origin.established_count -= 1
         if self.call_manager.established.release_from_caller(ref, number) or self.releases.discard(ref):
@@ -215,9 +219,10 @@
             log.info("release of an unknown call: ref=%s cause=%d", ref, number)
             caller.conn.write(jsonlines.encode("ack", ref))
 
-    def release(self, ref: str, cause: int) -> None:
+    def release_unknown(self, ref: str, cause: int) -> bool:
         """Report the release of a call that was established before this process started."""
         self.releases.send(ref, cause)
+        return True
 
 
 def _int_or_default(value: object, default: int) -> int:
--- a/barleywheel/fronts/release_delivery.py
+++ b/barleywheel/fronts/release_delivery.py
@@ -21,8 +21,7 @@
 log = logging.getLogger(__name__)
 # A release is due at its caller within 1 s. A likely caller's connection gets it if no certain one is found.
 LIKELY_CALLER_DELAY_US = 700_000
-# How long a release waits for a connection. Later than 8 s it is late, and still better than none.
-RETENTION_US = 30_000_000
+RETENTION_US = 8_000_000  # how long a release waits for a connection
 MAX_WAITING_RELEASES = 10_000
 REVIEW_INTERVAL_US = 100_000  # between two looks at the releases that wait, while there are any
 # A release that was written less than this before its connection was reset may not have been read.
--- a/barleywheel/router.py
+++ b/barleywheel/router.py
@@ -43,7 +43,6 @@
         self.hubs = HubPool(self.call_manager, self.facade, self.deadlines, conf.connect_timeout_us)
         self.call_manager.default_carrier = self.hubs
         self.front = PlatformFront(self.call_manager, self.deadlines, conf.sockets // 2)
-        self.established.unknown_release_listener = self.front
         self.journal = JournalClient(conf.journal, self.facade, self.hubs)
         self.stop, self.reload = runtime.event(), runtime.event()
         self.shutdown_s = (
@@ -54,6 +53,9 @@
         self.m3ua: M3uaFront | None = None
         if operator.m3ua is not None:
             self.m3ua = M3uaFront(operator.m3ua, self.call_manager, self.facade, self.deadlines)
+            self.established.unknown_release_listeners.append(self.m3ua)
+        # Last, since it takes every call: its callers choose their ids themselves.
+        self.established.unknown_release_listeners.append(self.front)
 
     def start(self, conf: config.Config) -> None:
         """Listen and begin to serve; ConfigError if that is not possible."""
--- a/tests/test_m3ua.py
+++ b/tests/test_m3ua.py
@@ -14,7 +14,7 @@
 
 from barleywheel.net.buffer import Buffer
 from barleywheel.wire import isup, m3ua
-from tests import m3ua_harness
+from tests import m3ua_harness, network_harness
 from tests.m3ua_harness import ACM, ANM, IAM, REL, RLC, M3uaPeer
 from tests.network_harness import DESCRIPTION, Hub, NetworkHarness, SipMessage, answer_call, running_network
 
@@ -250,6 +250,108 @@
         assert not [m for m in peer.inbox if m.type == REL], "a REL went out twice"
 
 
+def test_a_rel_that_is_lost_with_its_link_is_sent_on_the_next_one(tmp_path: Path) -> None:
+    # Guards against callers at an exchange that are told of a release when the RLC timer expires.
+    hub = Hub("h1", 1, answer_call)
+    with running_front(tmp_path, hub) as (_, peer):
+        peer.connect().send_iam(3, DESCRIPTION)
+        peer.receive_isup(ANM, 3)
+        hub.send_bye(invites(hub)[0].ref, 16)
+        peer.receive_isup(REL, 3)  # lost with the link, as far as the exchange is concerned
+        peer.drop()
+        peer.connect()
+        assert peer.receive_isup(REL, 3).cause == 16
+        peer.send_isup(3, RLC)
+        peer.send_iam(3, DESCRIPTION)
+        peer.receive_isup(ANM, 3)
+
+
+def test_a_circuit_that_was_blocked_without_rlc_is_released_on_the_next_link(tmp_path: Path) -> None:
+    # Guards against calls that stand for ever at an exchange whose link was dead while every REL was sent.
+    hub = Hub("h1", 1, answer_call)
+    with running_front(tmp_path, hub, rlc_ms=50) as (harness, peer):
+        peer.connect().send_iam(3, DESCRIPTION)
+        peer.receive_isup(ANM, 3)
+        hub.send_bye(invites(hub)[0].ref, 16)
+        for _ in range(3):
+            peer.receive_isup(REL, 3)
+        harness.wait_for(lambda: "circuit blocked, no RLC received" in harness.log_text())
+        peer.drop()
+        peer.connect()
+        assert peer.receive_isup(REL, 3).cause == 16
+
+
+@contextmanager
+def restarted_front(
+    tmp: Path, hub: Hub
+) -> Iterator[tuple[NetworkHarness, M3uaPeer, network_harness.Caller, str]]:
+    """A program that was killed and started again while a call of its exchange stood on circuit 3."""
+    with running_front(tmp, hub) as (harness, peer):
+        peer.connect().send_iam(3, DESCRIPTION)
+        peer.receive_isup(ANM, 3)
+        harness.process.kill()
+        harness.process.wait()
+        hub.conns.clear()
+        (tmp / "log").write_text("")
+        harness.start()
+        peer.connect()
+        caller = harness.caller()
+        caller.send("hb", "1", c=0)
+        caller.receive("hb_ok", "1")
+        yield harness, peer, caller, invites(hub)[0].ref
+
+
+def test_a_release_after_a_restart_reaches_the_exchange_and_nobody_else(tmp_path: Path) -> None:
+    # Guards against calls of an exchange that stand for ever after a restart, and go to others (review/10).
+    hub = Hub("h1", 1, answer_call)
+    with restarted_front(tmp_path, hub) as (_, peer, caller, ref):
+        hub.send_bye(ref, 16)
+        assert peer.receive_isup(REL, 3).cause == 16
+        peer.send_isup(3, RLC)
+        caller.send("hb", "2", c=0)
+        caller.receive("hb_ok", "2")
+        assert not caller.inbox
+
+
+def test_a_release_after_a_restart_waits_for_the_link(tmp_path: Path) -> None:
+    # Guards against a release that is dropped because the exchange is not back yet.
+    hub = Hub("h1", 1, answer_call)
+    with restarted_front(tmp_path, hub) as (harness, peer, _, ref):
+        peer.drop()
+        harness.wait_for(lambda: "link down" in harness.log_text())
+        hub.send_bye(ref, 16)
+        hub.inbox.wait_and_pop(lambda m: (m.method, m.ref) == ("SIP/2.0", ref))
+        peer.connect()
+        assert peer.receive_isup(REL, 3).cause == 16
+
+
+def test_a_release_after_a_restart_does_not_end_a_later_call_on_its_circuit(tmp_path: Path) -> None:
+    # Guards against the release of an earlier call ending the call that the exchange has there now.
+    hub = Hub("h1", 1, answer_call)
+    with restarted_front(tmp_path, hub) as (_, peer, caller, ref):
+        peer.send_iam(3, b"later")
+        peer.receive_isup(ANM, 3)
+        hub.send_bye(ref, 16)
+        hub.inbox.wait_and_pop(lambda m: (m.method, m.ref) == ("SIP/2.0", ref))
+        peer.send(m3ua_harness.BEAT, {0x09: b"end"})
+        peer.receive(m3ua_harness.BEAT_ACK)
+        assert not [m for m in peer.inbox if m.type == REL] and not caller.inbox
+
+
+def test_a_json_caller_can_not_release_a_call_of_an_exchange(tmp_path: Path) -> None:
+    # Guards against a stranger's release of a call whose id it has guessed.
+    hub = Hub("h1", 1, answer_call)
+    with running_front(tmp_path, hub) as (harness, peer):
+        peer.connect().send_iam(3, DESCRIPTION)
+        peer.receive_isup(ANM, 3)
+        ref = invites(hub)[0].ref
+        harness.caller().send("down", ref, c=16)
+        harness.wait_for(lambda: "release of a call of another front ignored" in harness.log_text())
+        hub.send_bye(ref, 31)
+        assert peer.receive_isup(REL, 3).cause == 31
+        assert not [m for m in hub.inbox if m.method == "BYE"]
+
+
 def test_a_placed_set_up_ends_as_reset_when_the_link_drops(tmp_path: Path) -> None:
     with running_front(tmp_path, Hub("h1", 1), cell=1) as (harness, peer):
         peer.connect()
