Tell a hub's new process from the old one by its start and its address

Cause: the hub pool skipped each listed name that it had. A later since_ms and a new address went unseen, and a connect that succeeds within 7.3 s cancels the release of a silent hub's calls.

Change: a later start means a new process: calls established before it are released, connections opened before it are closed. A hub at a new address is taken up again from there. Of two ready hubs at one address the later listed one is there; the other's calls are released and nothing is sent to it.

Also: a waiting release that is nearly late goes to one likely caller and to nobody else afterwards, and a peer that has sent an invalid set-up is no likely caller.

--- a/barleywheel/core/release.py
+++ b/barleywheel/core/release.py
@@ -54,7 +54,15 @@
         leg.carrier.release(leg, cause)
         return True
 
-    def release_all_at_hub(self, hub: bytes) -> None:
-        """Release every call at a hub whose process is known to have died, since its calls died with it."""
-        for ref in [ref for ref, leg in self.legs.items() if leg.hub == hub]:
+    def release_all_at_hub(self, hub: bytes, before_us: int | None = None) -> None:
+        """Release every call at a hub whose process is known to have died, since its calls died with it.
+
+        With ``before_us`` those that were established later are kept: a new process has them.
+        """
+        ended = [
+            ref
+            for ref, leg in self.legs.items()
+            if leg.hub == hub and (before_us is None or leg.established_us < before_us)
+        ]
+        for ref in ended:
             self.release_from_hub(ref, CAUSE_TEMPORARY_FAILURE)
--- a/barleywheel/fronts/platform.py
+++ b/barleywheel/fronts/platform.py
@@ -41,7 +41,7 @@
     def __init__(self, front: PlatformFront, conn: Connection) -> None:
         self.front, self.conn = front, conn
         self.refs: set[str] = set()  # call ids of its open set-ups
-        self.has_sent_message = False
+        self.has_sent_message = self.has_sent_invalid = False
         self.trust = CallerTrust.UNKNOWN
         self.unconfirmed = UnconfirmedReleases()
         self.established_count = 0  # calls reported to it as established and not yet as released
@@ -64,7 +64,8 @@
         # If the call id repeats that of an open call, that call stays open on this connection.
         if request.ref not in self.front.call_manager.open_calls:
             self.refs.discard(request.ref)
-        if rejection.cause != CAUSE_INVALID_MESSAGE:
+        self.has_sent_invalid = self.has_sent_invalid or rejection.cause == CAUSE_INVALID_MESSAGE
+        if not self.has_sent_invalid and self.front.is_listed(request.destination):
             self.raise_trust(CallerTrust.LIKELY_CALLER)
         ms = math.ceil(rejection.retry_after_us / 1000)
         advice = {"wait": str(ms)} if ms else {}
@@ -92,6 +93,10 @@
         self.shutting_down = self.closed = False
         self._listener: sockets.Listener | None = None
 
+    def is_listed(self, destination: int) -> bool:
+        """Whether the hub list has a hub of that exchange."""
+        return bool(self.call_manager.facade.hubs_of(destination))
+
     def listen(self, address: str) -> None:
         """Open the listening socket."""
         self._listener = sockets.listen(address, 512)
--- a/barleywheel/fronts/release_delivery.py
+++ b/barleywheel/fronts/release_delivery.py
@@ -33,7 +33,7 @@
     """What a connection's messages show about who is at its other end."""
 
     UNKNOWN = 0
-    LIKELY_CALLER = 1  # a valid set-up of its own was decided on
+    LIKELY_CALLER = 1  # only valid set-ups, one of them for a listed exchange, which was refused
     CALLER = 2  # it sent a test, had a call established or released a call that stood
 
 
@@ -80,7 +80,6 @@
 
     cause: int
     since_us: int
-    told_likely_caller: bool = False
 
 
 class ReleaseDelivery:
@@ -107,11 +106,8 @@
     def on_trust_changed(self, caller: CallerConnection) -> None:
         """Send what waits for a connection such as this has become."""
         for ref, release in list(self.waiting.items()):
-            if caller.trust is CallerTrust.CALLER:
-                if self._write(caller, ref, release.cause):
-                    del self.waiting[ref]
-            else:
-                self._send_to_likely_caller(ref, release, caller)
+            if caller.trust is CallerTrust.CALLER or self._is_nearly_late(release):
+                self._send_waiting(ref, caller)
 
     def on_connection_lost(self, caller: CallerConnection) -> None:
         """Send again what was written to a connection and discarded when it was reset."""
@@ -150,7 +146,7 @@
             self.waiting.popitem(last=False)
         while self._to_be_offered:
             release = self.waiting.get(self._to_be_offered[0])
-            if release is not None and now - release.since_us < LIKELY_CALLER_DELAY_US:
+            if release is not None and not self._is_nearly_late(release):
                 break
             self._offer_to_likely_callers(self._to_be_offered.popleft())
         self._schedule_review()
@@ -158,9 +154,11 @@
     def _offer_to_likely_callers(self, ref: str) -> None:
         for caller in self._callers():
             if caller.trust is CallerTrust.LIKELY_CALLER and ref in self.waiting:
-                self._send_to_likely_caller(ref, self.waiting[ref], caller)
+                self._send_waiting(ref, caller)
 
-    def _send_to_likely_caller(self, ref: str, release: WaitingRelease, caller: CallerConnection) -> None:
-        """Send a release to one likely caller; it still waits for a certain one."""
-        if not release.told_likely_caller and now_us() - release.since_us >= LIKELY_CALLER_DELAY_US:
-            release.told_likely_caller = self._write(caller, ref, release.cause)
+    def _is_nearly_late(self, release: WaitingRelease) -> bool:
+        return now_us() - release.since_us >= LIKELY_CALLER_DELAY_US
+
+    def _send_waiting(self, ref: str, caller: CallerConnection) -> None:
+        if self._write(caller, ref, self.waiting[ref].cause):
+            del self.waiting[ref]
--- a/barleywheel/net/hubs.py
+++ b/barleywheel/net/hubs.py
@@ -17,6 +17,7 @@
 from barleywheel.wire.journal import Endpoint
 
 log = logging.getLogger(__name__)
+US_PER_MS = 1000
 MAX_CONNECTIONS_PER_HUB = 4
 RECONNECT_DELAYS_S = (0.1, 0.25, 0.5, 1.0)  # indexed by the failed connects in a row, up to the last
 # Below 8 s: callers must be notified within 8 s of the end of a call, and an unreachable hub reports no ends.
@@ -52,7 +53,7 @@
         self.setups: dict[tuple[str, int], Attempt] = {}
         # Ended without an established call; a late 200 for one of these is answered with a BYE.
         self.ended_setups: OrderedDict[tuple[str, int], None] = OrderedDict()
-        self.last_received_us = now_us()
+        self.opened_us = self.last_received_us = now_us()
         self.silence_check_scheduled = False
         self.suspect = False  # the hub may be unreachable; cleared when a message is read
 
@@ -73,8 +74,9 @@
 class Hub:
     """A build hub: its address, its connections and what waits for one."""
 
-    def __init__(self, name: bytes, address: str) -> None:
+    def __init__(self, name: bytes, address: str, since_ms: int = 0) -> None:
         self.name, self.address = name, address
+        self.since_ms = since_ms  # Unix time of its process's start, if it is listed with one, else 0
         self.connections: list[HubConnection] = []
         self.connecting = 0  # connects in progress
         self.gone = False  # removed from the hub list
@@ -141,14 +143,42 @@
             listed.add(name)
             if endpoint.status == "Gone":
                 self._remove(name)
-            elif name not in self.hubs and endpoint.address is not None:
-                self.hubs[name] = Hub(name, endpoint.address)
-                if self.facade.cell_of(name) != self.facade.home_cell and not self._has_other_carrier(name):
-                    runtime.spawn(self._maintain_connection, self.hubs[name])
+            elif name in self.hubs:
+                self._update_listed_hub(self.hubs[name], endpoint)
+            elif endpoint.address is not None:
+                self._add(name, endpoint.address, endpoint.since_ms)
         if is_snapshot:
             for name in [name for name in self.hubs if name not in listed]:
                 self._remove(name)
 
+    def _add(self, name: bytes, address: str, since_ms: int) -> None:
+        for other in list(self.hubs.values()):
+            # Two processes can't listen at one address. One that drains doesn't listen, and may have calls.
+            if other.address == address and self.facade.is_ready(other.name):
+                self._end_process(other, now_us())
+        self.hubs[name] = Hub(name, address, since_ms)
+        if self.facade.cell_of(name) != self.facade.home_cell and not self._has_other_carrier(name):
+            runtime.spawn(self._maintain_connection, self.hubs[name])
+
+    def _update_listed_hub(self, hub: Hub, endpoint: Endpoint) -> None:
+        """Notice that a hub which is listed again has a new process: at a new address, or started later."""
+        if endpoint.address not in (None, hub.address):
+            log.info("hub has moved: hub=%s address=%s", endpoint.name, endpoint.address)
+            self._remove(hub.name)
+            self._add(hub.name, str(endpoint.address), endpoint.since_ms)
+        elif endpoint.since_ms > hub.since_ms:
+            log.info("hub was started again: hub=%s since_ms=%d", endpoint.name, endpoint.since_ms)
+            hub.since_ms = endpoint.since_ms
+            self._end_process(hub, runtime.from_unix_us(endpoint.since_ms * US_PER_MS))
+
+    def _end_process(self, hub: Hub, ended_us: int) -> None:
+        """Release the calls of a process that has ended, and close the connections to it."""
+        if not self._has_other_carrier(hub.name):
+            self.call_manager.established.release_all_at_hub(hub.name, ended_us)
+        for conn in list(hub.connections):
+            if conn.opened_us < ended_us:
+                conn.close()
+
     def _has_other_carrier(self, name: bytes) -> bool:
         return self.facade.cell_of(name) in self.call_manager.carriers
 
@@ -218,10 +248,13 @@
             )
 
     def _is_address_reused(self, hub: Hub) -> bool:
-        """Whether a ready hub now has the address of this one, which is draining or gone."""
-        return not self.facade.is_ready(hub.name) and any(
-            other.address == hub.address and self.facade.is_ready(other.name) for other in self.hubs.values()
-        )
+        """Whether a ready hub that was listed later has the address of this one, whose process has ended."""
+        later = False
+        for other in self.hubs.values():
+            if later and other.address == hub.address and self.facade.is_ready(other.name):
+                return True
+            later = later or other is hub
+        return False
 
     def _connect(self, hub: Hub) -> HubConnection | None:
         """Open a connection; blocks until it is established, refused or timed out. None if it failed."""
@@ -289,7 +322,7 @@
     def place(self, attempt: Attempt) -> None:
         """Send the set-up on an open connection, or on a new one if none is usable."""
         hub = self.hubs.get(attempt.hub)
-        if hub is None:
+        if hub is None or self._is_address_reused(hub):
             attempt.finish(AttemptResult(AttemptStatus.NOT_SENT))
         elif (conn := hub.usable_connection(attempt.call)) is not None:
             self._send(conn, attempt)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -319,6 +319,64 @@
         assert caller.receive("down", REF, timeout_s=5.0)["c"] == 41
 
 
+def test_calls_of_a_hub_that_was_started_again_are_released(tmp_path: Path) -> None:
+    # Guards against callers that are never told after a hub was lost and back as a new process (review/9).
+    hub = Hub("h1", 1, answer_call)
+    with running_network(tmp_path, hub) as harness:
+        caller = harness.caller()
+        caller.send_new(REF)
+        caller.receive("up", REF)
+        old_connection = hub.conns[-1]
+        time.sleep(0.05)
+        started_ms = int(time.time() * 1000)
+        old_connection.shutdown(socket.SHUT_RDWR)  # the new process is there before the list tells of it
+        harness.wait_for(lambda: hub.conns[-1] is not old_connection)
+        time.sleep(0.05)
+        caller.send_new(OTHER_REF)
+        caller.receive("up", OTHER_REF)
+        harness.journal.publish(hub, since=started_ms)
+        assert caller.receive("down", REF, timeout_s=1.0)["c"] == 41
+        harness.journal.publish(hub, since=started_ms)  # listed once more, unchanged
+        caller.send("hb", "1", c=0)
+        caller.receive("hb_ok", "1")
+        assert not caller.inbox  # the new process has the other call
+
+
+def test_a_new_hub_at_the_address_of_a_listed_one_has_taken_its_place(tmp_path: Path) -> None:
+    # Guards against work for a hub that has gone which is sent to the one that is now at its address.
+    old = Hub("h1", 1, answer_call)
+    with running_network(tmp_path, old) as harness:
+        caller = harness.caller()
+        caller.send_new(REF)
+        caller.receive("up", REF)
+        new = Hub("h2", 2, answer_call)
+        new.listener.close()
+        new.port = old.port
+        harness.journal.publish(new)  # the list doesn't tell yet that the old one has gone
+        assert caller.receive("down", REF, timeout_s=1.0)["c"] == 41
+        in_transit = "dest:1;width:1;via:0;transit:1"  # goes to its destination or nowhere
+        caller.send_new(OTHER_REF, extras=in_transit)
+        caller.receive("down", OTHER_REF)
+        caller.send_new(REF[:-1] + "9", to=2)
+        caller.receive("up", REF[:-1] + "9")
+
+
+def test_a_hub_that_has_moved_is_followed_to_its_new_address(tmp_path: Path) -> None:
+    # Guards against set-ups that go on to the address of a process that has ended.
+    old = Hub("h1", 1, answer_call)
+    with running_network(tmp_path, old) as harness:
+        caller = harness.caller()
+        caller.send_new(REF)
+        caller.receive("up", REF)
+        moved = Hub("h1", 1, answer_call)
+        harness.journal.publish(moved)
+        assert caller.receive("down", REF, timeout_s=1.0)["c"] == 41
+        harness.wait_for(lambda: moved.conns)
+        caller.send_new(OTHER_REF)
+        wait_for_invite(moved, OTHER_REF)
+        caller.receive("up", OTHER_REF)
+
+
 def test_a_release_of_a_failed_call_is_not_a_second_answer(tmp_path: Path) -> None:
     hub = Hub("h1", 1, never_answer)
     with running_network(tmp_path, hub) as harness:
