--- a/barleywheel/fuzz/scripts.py
+++ b/barleywheel/fuzz/scripts.py
@@ -445,6 +445,7 @@
         """A caller sends a set-up in pieces of ``size`` bytes, each read before the next is sent."""
         if (caller_model := self._connect_caller(conn)) is None:
             return
+        size = max(1, size)  # shrinking tries 0
         data, _ = self._make_offer(caller_model, call, destination, False, 3000, "", 0)
         if gap_us * (len(data) // size) > 2_000_000:
             gap_us = 0
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -187,3 +187,8 @@
 def test_the_text_that_a_planted_fault_replaces_occurs_once() -> None:
     for fault in PLANTED_FAULTS:
         assert (PACKAGE_FOLDER / fault.file).read_text().count(fault.old) == 1, fault.name
+
+
+def test_a_script_whose_pieces_have_no_size_runs() -> None:
+    # Guards against shrinking that ends with a division by zero.
+    ScriptRunner().run([["drip", 0, 1, 1, 0, 100]])
