--- a/barleywheel/fronts/platform.py
+++ b/barleywheel/fronts/platform.py
@@ -63,7 +63,8 @@
         # If the call id repeats that of an open call, that call stays open on this connection.
         if request.ref not in self.front.call_manager.open_calls:
             self.refs.discard(request.ref)
-        self.has_sent_invalid = self.has_sent_invalid or rejection.cause == CAUSE_INVALID_MESSAGE
+        if rejection.cause == CAUSE_INVALID_MESSAGE:
+            self.has_sent_invalid = True
         if not self.has_sent_invalid and self.front.is_listed(request.destination):
             self.raise_trust(CallerTrust.LIKELY_CALLER)
         ms = math.ceil(rejection.retry_after_us / 1000)
