--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 # Also installs the command-line tools and what test and lint need, in the same environment.
 dev: build
-	.venv/bin/python -c 'import tomllib; x = tomllib.load(open("pyproject.toml", "rb"))["project"]["optional-dependencies"]; print(*x["dev"], *x["tools"])' | xargs .venv/bin/pip -q install
+	.venv/bin/python -c 'import tomllib; x = tomllib.load(open("pyproject.toml", "rb"))["project"]["optional-dependencies"]; print(*x["dev"], *x["tools"], sep="\n")' | xargs -d '\n' .venv/bin/pip -q install
 
 test:
 	$(PYTHON) -m pytest
--- a/barleywheel/cli/fuzz.py
+++ b/barleywheel/cli/fuzz.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import importlib.util
 import json
 import os
 import selectors
@@ -114,6 +115,8 @@
     targets = select_targets(target)
     if engine_name not in ENGINES:
         raise usage_error(f"unknown engine {engine_name!r}; available: {', '.join(ENGINES)}")
+    if engine_name == "atheris" and importlib.util.find_spec("atheris") is None:
+        raise usage_error("engine atheris is not installed; it is published for x86-64 only")
     if not seconds and not inputs:
         raise usage_error("--seconds and --inputs are both 0: the run would never end")
     for selected in targets:
