--- a/barleywheel/net/hubs.py
+++ b/barleywheel/net/hubs.py
@@ -1,24 +1,22 @@
-"""SIP connections to build hubs: at most four per hub, the first opened before there is a call for it."""
+"""The pool of SIP connections to build hubs: the first of each is opened before there is a call for it."""
 
 from __future__ import annotations
 
 import logging
-from collections import OrderedDict
 
 from barleywheel.core import runtime
 from barleywheel.core.call_manager import CallManager
 from barleywheel.core.deadlines import Deadlines
-from barleywheel.core.model import Attempt, AttemptResult, AttemptStatus, Call, Leg, RefusalReason
+from barleywheel.core.model import Attempt, AttemptResult, AttemptStatus, Leg, RefusalReason
 from barleywheel.core.runtime import now_us
 from barleywheel.facade import ControllerFacade
 from barleywheel.net import sockets
-from barleywheel.net.connection import Connection
+from barleywheel.net.hub import Hub, HubAttempt, HubConnection, PendingRelease
 from barleywheel.wire import sip
 from barleywheel.wire.journal import Endpoint
 
 log = logging.getLogger(__name__)
 US_PER_MS = 1000
-MAX_CONNECTIONS_PER_HUB = 4
 RECONNECT_DELAYS_S = (0.1, 0.25, 0.5, 1.0)  # indexed by the failed connects in a row, up to the last
 # Below 8 s: callers must be notified within 8 s of the end of a call, and an unreachable hub reports no ends.
 RELEASE_AFTER_SILENCE_US = 7_300_000
@@ -28,10 +26,6 @@
 PING_AFTER_SILENCE_US = 80_000
 # Even a slow hub answers OPTIONS immediately; a connection without an answer by then is closed.
 PING_TIMEOUT_US = 100_000
-# Hubs write each message in one piece, so the rest of an incomplete one is not expected after this.
-MESSAGE_TIMEOUT_US = 250_000
-# Ended set-ups remembered per connection, so that a late 200 for one of them is released with a BYE.
-MAX_ENDED_SETUPS_PER_CONNECTION = 512
 RELEASE_RETENTION_US = 8_000_000  # how long a release waits for a connection to its hub
 # By then a hub has noticed that this side closed a connection, and sends no more releases on it.
 CLOSE_NOTICED_AFTER_US = 100_000
@@ -45,82 +39,6 @@
 REASON_BY_NOTE = {reason.value: reason for reason in RefusalReason}
 
 
-class HubConnection(Connection):
-    """A connection to a hub, with the set-ups that are open on it."""
-
-    def __init__(self, sock: sockets.Socket, peer: str, deadlines: Deadlines) -> None:
-        super().__init__(sock, peer, deadlines, MESSAGE_TIMEOUT_US, await_first_message=False)
-        self.setups: dict[tuple[str, int], Attempt] = {}
-        # Ended without an established call; a late 200 for one of these is answered with a BYE.
-        self.ended_setups: OrderedDict[tuple[str, int], None] = OrderedDict()
-        self.opened_us = self.last_received_us = now_us()
-        self.silence_check_scheduled = False
-        self.suspect = False  # the hub may be unreachable; cleared when a message is read
-
-    def remember_ended(self, key: tuple[str, int]) -> None:
-        """Remember a set-up that ended without an established call."""
-        self.ended_setups[key] = None
-        if len(self.ended_setups) > MAX_ENDED_SETUPS_PER_CONNECTION:
-            self.ended_setups.popitem(last=False)
-
-
-class HubAttempt:
-    """Carrier state of an attempt: its connection, CSeq and called number."""
-
-    def __init__(self, conn: HubConnection, cseq: int, called_number: str) -> None:
-        self.conn, self.cseq, self.called_number = conn, cseq, called_number
-
-
-class Hub:
-    """A build hub: its address, its connections and what waits for one."""
-
-    def __init__(self, name: bytes, address: str, since_ms: int = 0) -> None:
-        self.name, self.address = name, address
-        self.since_ms = since_ms  # Unix time of its process's start, if it is listed with one, else 0
-        self.connections: list[HubConnection] = []
-        self.connecting = 0  # connects in progress
-        self.gone = False  # removed from the hub list
-        self.last_received_us = now_us()
-        # The last_received_us for which a release of the hub's calls is already scheduled.
-        self.release_scheduled_for_silence_since_us = 0
-        # A connection opened from this time on makes the hub repeat the releases that were lost with another.
-        self.repeat_due_us: int | None = None
-        self.maintenance_needed = runtime.event()
-        self.connect_attempt_ended = runtime.event()
-        # Waiting for a connection: expiry time in us, then Call-ID, CSeq, called number and cause of the BYE.
-        self.pending_releases: list[tuple[int, str, int, str, int]] = []
-
-    @property
-    def repeat_is_due(self) -> bool:
-        """Whether a connection is to be opened so that the hub repeats its releases."""
-        return self.repeat_due_us is not None and self.repeat_due_us <= now_us()
-
-    @property
-    def has_most_connections(self) -> bool:
-        """Whether no further connection to the hub is allowed."""
-        return len(self.connections) + self.connecting >= MAX_CONNECTIONS_PER_HUB
-
-    def idle_connections(self) -> list[HubConnection]:
-        """The connections without an open set-up."""
-        return [conn for conn in self.connections if not conn.setups]
-
-    def usable_connection(self, call: Call | None = None) -> HubConnection | None:
-        """Return a connection for a new set-up: nothing queued, no incomplete message read, not suspect.
-
-        A call that is sent to the same hub again needs a connection that has not carried it before: hubs
-        answer every INVITE of a call with CSeq 1, so only the connection tells the answers apart.
-        """
-        ready = [
-            c
-            for c in self.connections
-            if c.can_write_now
-            and not c.suspect
-            and not len(c.buffer)
-            and (call is None or c not in call.carrier_data)
-        ]
-        return min(ready, key=lambda c: len(c.setups)) if ready else None
-
-
 class HubPool:
     """Sends attempts to hubs and passes the hubs' messages to the core."""
 
@@ -283,9 +201,9 @@
         conn = HubConnection(sock, hub.name.decode(), self.deadlines)
         hub.connections.append(conn)
         runtime.spawn(self._read, hub, conn)
-        for expires_us, ref, cseq, number, cause in hub.pending_releases:
-            if expires_us > now_us():
-                conn.write(sip.bye(ref, cseq, number, cause))
+        for release in hub.pending_releases:
+            if release.expires_us > now_us():
+                conn.write(sip.bye(release.ref, release.cseq, release.called_number, release.cause))
         hub.pending_releases.clear()
         return conn
 
@@ -459,10 +377,11 @@
         connections = [hub_attempt.conn] + ([c for c in hub.connections if not c.suspect] if hub else [])
         data = sip.bye(leg.ref, hub_attempt.cseq + 1, hub_attempt.called_number, cause)
         if not any(conn.write(data) for conn in connections) and hub is not None:
-            hub.pending_releases = [pending for pending in hub.pending_releases if pending[0] > now_us()]
+            now = now_us()
+            hub.pending_releases = [release for release in hub.pending_releases if release.expires_us > now]
             hub.pending_releases.append(
-                (
-                    now_us() + RELEASE_RETENTION_US,
+                PendingRelease(
+                    now + RELEASE_RETENTION_US,
                     leg.ref,
                     hub_attempt.cseq + 1,
                     hub_attempt.called_number,
--- a/tests/test_hub_pool.py
+++ b/tests/test_hub_pool.py
@@ -172,16 +172,21 @@
         assert len(hubs) > opened and hub.repeat_due_us is None
 
 
+def time_out_a_set_up(virtual_runtime: VirtualRuntime, pool: HubPool) -> None:
+    """Place a set-up that is never answered; its connection is not checked before that."""
+    virtual_runtime.run(US_PER_S)
+    pool.facade.is_ready = lambda hub: False  # type: ignore[method-assign]
+    attempt = place_attempt(pool)
+    virtual_runtime.run(US_PER_S // 2)
+    pool.facade.is_ready = lambda hub: True  # type: ignore[method-assign]
+    attempt.finish(AttemptResult(AttemptStatus.TIMEOUT))
+    pool.cancel(attempt)
+
+
 def test_a_connection_without_an_answer_is_closed_although_no_set_up_is_open_on_it() -> None:
     # Guards against a dead connection that stays open and swallows the releases of the calls set up on it.
     with pool_with_one_hub(0.0) as (virtual_runtime, pool, hubs):
-        virtual_runtime.run(US_PER_S)
-        pool.facade.is_ready = lambda hub: False  # type: ignore[method-assign]  # no check while it is open
-        attempt = place_attempt(pool)
-        virtual_runtime.run(US_PER_S // 2)
-        pool.facade.is_ready = lambda hub: True  # type: ignore[method-assign]
-        attempt.finish(AttemptResult(AttemptStatus.TIMEOUT))
-        pool.cancel(attempt)
+        time_out_a_set_up(virtual_runtime, pool)
         virtual_runtime.run(US_PER_S // 2)
         assert not hubs[0].peer.open and hubs[-1].peer.open
 
@@ -189,13 +194,7 @@
 def test_an_unanswered_set_up_does_not_close_a_connection_that_answers_the_ping() -> None:
     # Guards against closing good connections of a hub that is slow to answer set-ups.
     with pool_with_one_hub(0.0) as (virtual_runtime, pool, hubs):
-        virtual_runtime.run(US_PER_S)
-        pool.facade.is_ready = lambda hub: False  # type: ignore[method-assign]
-        attempt = place_attempt(pool)
-        virtual_runtime.run(US_PER_S // 2)
-        pool.facade.is_ready = lambda hub: True  # type: ignore[method-assign]
-        attempt.finish(AttemptResult(AttemptStatus.TIMEOUT))
-        pool.cancel(attempt)
+        time_out_a_set_up(virtual_runtime, pool)
         virtual_runtime.run(PING_AFTER_SILENCE_US // 2)
         hubs[0].peer.write(OPTIONS_RESPONSE)
         virtual_runtime.run(US_PER_S // 2)
--- a/tests/test_unreadable_input.py
+++ b/tests/test_unreadable_input.py
@@ -22,8 +22,9 @@
 from barleywheel.fronts.platform import Caller, PlatformFront
 from barleywheel.net import sockets
 from barleywheel.net.connection import Connection
-from barleywheel.net.hubs import Hub as PooledHub
-from barleywheel.net.hubs import HubConnection, HubPool
+from barleywheel.net.hub import Hub as PooledHub
+from barleywheel.net.hub import HubConnection
+from barleywheel.net.hubs import HubPool
 from barleywheel.snmp.agent import Agent
 from barleywheel.virtual import environment
 from barleywheel.wire import jsonlines, m3ua, sip
