Release a late answer once, and only acknowledge its copies

No caller was concerned.

Cause: the set-up stayed among the ended ones of its connection after its late 200 had been released, so a copy was released again.

Change: it is forgotten with the BYE; a copy is acknowledged, as every second answer is.

--- a/barleywheel/net/hubs.py
+++ b/barleywheel/net/hubs.py
@@ -430,6 +430,7 @@
             )
             if attempt is None or not attempt.finish(result):
                 conn.write(sip.bye(ref, cseq + 1, number, 16))  # late: the attempt has ended
+                conn.ended_setups.pop((ref, cseq), None)  # a copy of the answer is not released again
                 if load:
                     self.facade.report_load(hub.name, load)
             return
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -192,3 +192,17 @@
 def test_a_script_whose_pieces_have_no_size_runs() -> None:
     # Guards against shrinking that ends with a division by zero.
     ScriptRunner().run([["drip", 0, 1, 1, 0, 100]])
+
+
+def test_a_copy_of_a_late_answer_is_not_released_again() -> None:
+    # Guards against a second BYE for a call whose late answer was released already.
+    script = [
+        ["mode", 1, "hold", 0],
+        ["drip", 1, 1, 1, 245, 1],
+        ["hang", 1, 1],
+        ["wait", 500000],
+        ["answer", 1, 1, "200"],
+        ["copy", 1, 2],
+        ["wait", 300000],
+    ]
+    assert ScriptRunner().run(script) == []
