Take only a ready hub's later start for a new process

A hub that drains is the process that it was; an event that lists it as Terminating with another start or address would have released the calls that it still has.

Change: start and address are compared for ready hubs only.

Evidence: a test in tests/test_router.py, which fails without the check.

--- a/barleywheel/net/hubs.py
+++ b/barleywheel/net/hubs.py
@@ -62,7 +62,8 @@
             if endpoint.status == "Gone":
                 self._remove(name)
             elif name in self.hubs:
-                self._update_listed_hub(self.hubs[name], endpoint)
+                if self.facade.is_ready(name):  # a hub that drains is the process that it was
+                    self._update_listed_hub(self.hubs[name], endpoint)
             elif endpoint.address is not None:
                 self._add(name, endpoint.address, endpoint.since_ms)
         if is_snapshot:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -342,6 +342,20 @@
         assert not caller.inbox  # the new process has the other call
 
 
+def test_calls_of_a_draining_hub_are_kept_whatever_start_it_is_listed_with(tmp_path: Path) -> None:
+    # Guards against taking a hub that drains for a new process.
+    hub = Hub("h1", 1, answer_call)
+    with running_network(tmp_path, hub) as harness:
+        caller = harness.caller()
+        caller.send_new(REF)
+        caller.receive("up", REF)
+        harness.journal.publish(hub, status="Terminating", since=int(time.time() * 1000) + 1000)
+        harness.wait_for(lambda: "state=Terminating" in harness.log_text())
+        assert not caller.inbox
+        hub.send_bye(REF, 16)
+        assert caller.receive("down", REF)["c"] == 16
+
+
 def test_a_new_hub_at_the_address_of_a_listed_one_has_taken_its_place(tmp_path: Path) -> None:
     # Guards against work for a hub that has gone which is sent to the one that is now at its address.
     old = Hub("h1", 1, answer_call)
