Give every call of the flooding tests an id of its own

Change: the ids come from a counter. The calls, their number and the time in which they have to be established are as before.

--- a/tests/test_flooding_peers.py
+++ b/tests/test_flooding_peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import socket
 import threading
@@ -76,9 +77,12 @@
                 sock.shutdown(socket.SHUT_RDWR)
 
 
+call_numbers = itertools.count()  # every set-up gets a new id
+
+
 def assert_calls_are_established_in_time(harness: Any, caller: Any) -> None:
-    for number in range(3):
-        ref = f"{number:016x}".replace("0", "a", 1)
+    for _ in range(3):
+        ref = f"a{next(call_numbers):015x}"
         caller.send_new(ref)
         caller.receive("up", ref, AIM_S)
         caller.send("down", ref, c=16)
