--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -364,6 +364,7 @@
         caller.send_new(REF)
         caller.receive("up", REF)
         new = Hub("h2", 2, answer_call)
+        new.listener.shutdown(socket.SHUT_RDWR)  # else the thread in accept keeps it open
         new.listener.close()
         new.port = old.port
         harness.journal.publish(new)  # the list doesn't tell yet that the old one has gone
